--- a/cmd/figbend/daemon.c
+++ b/cmd/figbend/daemon.c
@@ -65,6 +65,8 @@
 	case FIG_HEARTBEAT:
 	case FIG_CRASH:
 	case FIG_ROOM:
+	case FIG_SHARE:
+	case FIG_RECORDS_GET:
 		break;
 	}
 	return -EPROTO;
@@ -92,6 +94,8 @@
 	case FIG_RELEASE:
 	case FIG_BOOK:
 	case FIG_QUOTA_DRAW:
+	case FIG_SHARE:
+	case FIG_RECORDS_GET:
 		break;
 	}
 }
--- /dev/null
+++ b/cmd/figbend/gateway/beats.c
@@ -0,0 +1,371 @@
+#include "gateway.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "logline.h"
+
+/*
+ * Tells the other hosts at intervals what this one lets through, has at
+ * endpoints and knows of the store, and takes in what they tell. A host that
+ * the store turns away gets the store's records from a host that has them.
+ */
+
+/* Between messages with few hosts; limits are exact to what passes in it. */
+#define BEAT_MIN_S 0.2
+/* With many hosts a host sends one message in so many seconds. */
+#define BEAT_PER_HOST_S 0.01
+#define SILENT_US 2000000LL
+/* A host that says nothing for so long is forgotten until it speaks again. */
+#define FORGET_US 20000000LL
+/* How long this host's own view of a stream may be behind before it asks. */
+#define BEHIND_US 1000000LL
+#define RECORDS_TIMEOUT_MS 800
+
+struct gateway_peer_load {
+	struct fleet_endpoint *endpoint;
+	uint32_t running;
+	uint32_t tokens;
+	uint32_t prompt_tokens;
+};
+
+static struct gateway_peer *find(struct gateway *g, const char *name)
+{
+	struct gateway_peer *p;
+
+	TAILQ_FOREACH(p, &g->peers, entry)
+	if (strcmp(p->name, name) == 0)
+		return p;
+	return NULL;
+}
+
+/* Takes back what a host said that it has at endpoints. */
+static void clear_loads(struct gateway_peer *p)
+{
+	uint32_t i;
+
+	for (i = 0; i < p->n_loads; i++) {
+		struct gateway_peer_load *l = &p->load[i];
+
+		l->endpoint->peer_running -= l->running;
+		l->endpoint->peer_tokens -= l->tokens;
+		l->endpoint->peer_prompt_tokens -= l->prompt_tokens;
+		fleet_unref(l->endpoint);
+	}
+	free(p->load);
+	p->load = NULL;
+	p->n_loads = 0;
+}
+
+static void set_loads(struct gateway *g, struct gateway_peer *p,
+		      const struct fig_share *s)
+{
+	uint32_t i;
+
+	clear_loads(p);
+	p->load = calloc(s->load.load_len + 1, sizeof(*p->load));
+	if (!p->load)
+		return;
+	for (i = 0; i < s->load.load_len; i++) {
+		const struct fig_load *said = &s->load.load_val[i];
+		struct fleet_endpoint *e =
+			fleet_find(&g->fleet, said->endpoint);
+		struct gateway_peer_load *l = &p->load[p->n_loads];
+
+		if (!e)
+			continue;
+		l->endpoint = fleet_ref(e);
+		l->running = said->running;
+		l->tokens = said->tokens;
+		l->prompt_tokens = said->prompt_tokens;
+		e->peer_running += l->running;
+		e->peer_tokens += l->tokens;
+		e->peer_prompt_tokens += l->prompt_tokens;
+		p->n_loads++;
+	}
+}
+
+static void count_hosts(struct gateway *g)
+{
+	g->fleet.hosts = share_hosts(&g->share);
+}
+
+/* A host's record or message names it. */
+void beats_host_found(struct gateway *g, const char *name, const char *addr)
+{
+	struct gateway_peer *p = find(g, name);
+
+	if (strcmp(name, g->setup->host) == 0)
+		return;
+	if (!p) {
+		p = calloc(1, sizeof(*p));
+		if (!p)
+			return;
+		snprintf(p->name, sizeof(p->name), "%s", name);
+		TAILQ_INSERT_TAIL(&g->peers, p, entry);
+		logline(LOG_NOTICE, "host_found", "host=%s addr=%s", name,
+			addr);
+	}
+	snprintf(p->addr, sizeof(p->addr), "%s", addr);
+}
+
+static void forget(struct gateway *g, struct gateway_peer *p)
+{
+	logline(LOG_NOTICE, "host_gone", "host=%s", p->name);
+	clear_loads(p);
+	share_host_gone(&g->share, p->name);
+	TAILQ_REMOVE(&g->peers, p, entry);
+	free(p);
+	count_hosts(g);
+}
+
+/* A host took its record back. */
+void beats_host_gone(struct gateway *g, const char *name)
+{
+	struct gateway_peer *p = find(g, name);
+
+	if (p)
+		forget(g, p);
+}
+
+struct asked {
+	struct gateway *g;
+	char name[SETUP_NAME_BYTES];
+};
+
+static void on_records(void *ctx, int error, const struct fig_reply *reply)
+{
+	struct asked *a = ctx;
+	struct gateway *g = a->g;
+	struct gateway_peer *p = find(g, a->name);
+	const struct fig_records_got *got;
+	uint32_t i;
+
+	if (p)
+		p->asked = false;
+	free(a);
+	if (error || !reply)
+		return;
+	got = &reply->fig_reply_u.records_got;
+	if (got->topic >= FIG_TOPICS)
+		return;
+	for (i = 0; i < got->record.record_len; i++) {
+		const struct fig_record *r = &got->record.record_val[i];
+
+		follow_take(g, (enum adapter_topic)got->topic, r->key,
+			    r->gone ? NULL : r->value.value_val,
+			    r->value.value_len, r->offset,
+			    p ? p->name : "host");
+	}
+	if (got->upto > g->records[got->topic].upto)
+		g->records[got->topic].upto = got->upto;
+}
+
+/* Asks a host for records that the store does not give to this one. */
+static void ask_if_behind(struct gateway *g, struct gateway_peer *p)
+{
+	struct fig_call call = {.kind = FIG_RECORDS_GET};
+	int64_t now_us = gateway_now_us(g);
+	struct asked *a;
+	int t;
+
+	for (t = 0; t < FIG_TOPICS && !p->asked; t++) {
+		if (p->upto[t] <= g->records[t].upto ||
+		    now_us - g->follow[t].ok_us < BEHIND_US)
+			continue;
+		a = calloc(1, sizeof(*a));
+		if (!a)
+			return;
+		a->g = g;
+		snprintf(a->name, sizeof(a->name), "%s", p->name);
+		call.fig_call_u.records_get.topic = (u_int)t;
+		call.fig_call_u.records_get.from = g->records[t].upto;
+		p->asked = true;
+		if (peer_call(&g->peer, p->addr, &call, RECORDS_TIMEOUT_MS,
+			      on_records, a) < 0) {
+			p->asked = false;
+			free(a);
+		}
+	}
+}
+
+/* Answers with all records that are newer than the asker's. */
+static int give_records(struct gateway *g, const struct fig_records_get *get,
+			struct fig_records_got *got)
+{
+	const struct records *r;
+	struct fig_record *row;
+	uint32_t i;
+
+	if (get->topic >= FIG_TOPICS)
+		return -EINVAL;
+	r = &g->records[get->topic];
+	got->topic = get->topic;
+	got->upto = r->upto;
+	got->record.record_val = calloc(r->n + 1, sizeof(*row));
+	if (!got->record.record_val)
+		return -ENOMEM;
+	for (i = 0; i < r->n; i++) {
+		if (r->row[i].offset < get->from)
+			continue;
+		row = &got->record.record_val[got->record.record_len++];
+		row->key = strdup(r->row[i].key);
+		row->gone = !r->row[i].value;
+		row->offset = r->row[i].offset;
+		row->value.value_val = malloc(r->row[i].value_bytes + 1);
+		if (!row->key || !row->value.value_val)
+			return -ENOMEM;
+		if (r->row[i].value)
+			memcpy(row->value.value_val, r->row[i].value,
+			       r->row[i].value_bytes);
+		row->value.value_len = (u_int)r->row[i].value_bytes;
+	}
+	return 0;
+}
+
+static int on_call(void *ctx, const struct wire_opened *from,
+		   struct fig_reply *reply)
+{
+	struct gateway *g = ctx;
+
+	if (from->call.kind != FIG_RECORDS_GET)
+		return -ENOSYS;
+	return give_records(g, &from->call.fig_call_u.records_get,
+			    &reply->fig_reply_u.records_got);
+}
+
+static void on_message(void *ctx, const struct wire_opened *from)
+{
+	struct gateway *g = ctx;
+	const struct fig_share *s = &from->call.fig_call_u.share;
+	int64_t now_us = gateway_now_us(g);
+	struct gateway_peer *p;
+	uint32_t i;
+	int host;
+
+	if (from->call.kind != FIG_SHARE)
+		return;
+	stats_add(&g->stats, STATS_peer_messages, 1);
+	beats_host_found(g, from->sender, s->addr);
+	p = find(g, from->sender);
+	if (!p)
+		return;
+	p->heard_us = now_us;
+	memcpy(p->upto, s->upto, sizeof(p->upto));
+	host = share_host_heard(&g->share, p->name, from->boot, now_us);
+	for (i = 0; host >= 0 && i < s->spent.spent_len; i++)
+		share_heard(&g->share, host, s->spent.spent_val[i].account,
+			    s->spent.spent_val[i].amount, now_us);
+	set_loads(g, p, s);
+	count_hosts(g);
+	ask_if_behind(g, p);
+}
+
+/* Fills a message with this host's counters; strings are borrowed. */
+static int fill(struct gateway *g, struct fig_share *s)
+{
+	struct fleet_endpoint *e;
+	uint32_t i;
+
+	memset(s, 0, sizeof(*s));
+	s->domain = (char *)g->setup->domain;
+	s->addr = (char *)g->setup->peer_addr;
+	for (i = 0; i < FIG_TOPICS; i++)
+		s->upto[i] = g->records[i].upto;
+	s->spent.spent_val =
+		calloc(g->share.n_accounts + 1, sizeof(*s->spent.spent_val));
+	s->load.load_val = calloc(g->fleet.n + 1, sizeof(*s->load.load_val));
+	if (!s->spent.spent_val || !s->load.load_val)
+		return -ENOMEM;
+	for (i = 0; i < g->share.n_accounts; i++) {
+		struct share_account *a = &g->share.account[i];
+		struct fig_spent *row;
+
+		if (!a->spent)
+			continue;
+		row = &s->spent.spent_val[s->spent.spent_len++];
+		row->account = a->name;
+		row->amount = a->spent;
+	}
+	TAILQ_FOREACH(e, &g->fleet.list, entry)
+	{
+		struct fig_load *row;
+
+		if ((!e->running && !e->prompt_tokens) ||
+		    s->load.load_len == FIG_LOADS_MAX)
+			continue;
+		row = &s->load.load_val[s->load.load_len++];
+		row->endpoint = e->says.id;
+		row->running = e->running;
+		row->tokens = (u_int)e->tokens;
+		row->prompt_tokens = e->prompt_tokens;
+	}
+	return 0;
+}
+
+static void forget_silent(struct gateway *g)
+{
+	int64_t now_us = gateway_now_us(g);
+	struct gateway_peer *p, *next;
+
+	for (p = TAILQ_FIRST(&g->peers); p; p = next) {
+		next = TAILQ_NEXT(p, entry);
+		if (p->heard_us && now_us - p->heard_us > SILENT_US)
+			clear_loads(p);
+		if (p->heard_us && now_us - p->heard_us > FORGET_US)
+			forget(g, p);
+	}
+}
+
+static void on_beat(struct ev_loop *loop, ev_timer *w, int events)
+{
+	struct gateway *g = w->data;
+	struct fig_call call = {.kind = FIG_SHARE};
+	struct fig_share *s = &call.fig_call_u.share;
+	double next_s = BEAT_PER_HOST_S * share_hosts(&g->share);
+	struct gateway_peer *p;
+
+	forget_silent(g);
+	if (fill(g, s) == 0)
+		TAILQ_FOREACH(p, &g->peers, entry)
+	peer_send(&g->peer, p->addr, &call);
+	free(s->spent.spent_val);
+	free(s->load.load_val);
+	ev_timer_stop(loop, w);
+	ev_timer_set(w, next_s > BEAT_MIN_S ? next_s : BEAT_MIN_S, 0.);
+	ev_timer_start(loop, w);
+}
+
+/* Starts to listen to other hosts and to tell them. */
+int beats_init(struct gateway *g)
+{
+	int r;
+
+	TAILQ_INIT(&g->peers);
+	share_init(&g->share);
+	r = peer_init(&g->peer, g->loop, g->setup->peer_addr, g->setup->host,
+		      g->setup->secret, g->boot_us, on_call, on_message, g);
+	if (r < 0)
+		return r;
+	ev_timer_init(&g->beat, on_beat, BEAT_MIN_S, 0.);
+	g->beat.data = g;
+	ev_timer_start(g->loop, &g->beat);
+	return 0;
+}
+
+/* Stops, and frees what is known of other hosts. */
+void beats_finish(struct gateway *g)
+{
+	struct gateway_peer *p;
+
+	ev_timer_stop(g->loop, &g->beat);
+	while ((p = TAILQ_FIRST(&g->peers)) != NULL) {
+		clear_loads(p);
+		TAILQ_REMOVE(&g->peers, p, entry);
+		free(p);
+	}
+	peer_finish(&g->peer);
+	share_finish(&g->share);
+}
--- /dev/null
+++ b/cmd/figbend/gateway/follow.c
@@ -0,0 +1,509 @@
+#include "gateway.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "logline.h"
+
+/*
+ * Follows the store's streams: a snapshot first, then records as they come. The
+ * operators' stream is read by calls that wait, so that a change is here at
+ * once; endpoints write all the time, and are read at intervals.
+ */
+
+/* How long a call waits for records: a small part of the time in which a
+ * configuration must be in force, since a silent connection looks the same. */
+#define WAIT_MS 600
+#define CALL_TIMEOUT_S 0.5
+/* Between reads of the endpoints' stream: a third of the two seconds that an
+ * endpoint serves on after it said that it leaves. */
+#define ENDPOINTS_INTERVAL_S 0.6
+/* Hosts say themselves that they are there; this finds those cut off. */
+#define HOSTS_INTERVAL_S 10.0
+#define RETRY_FIRST_S 0.15
+#define RETRY_MAX_S 1.0
+/* Entries that go within this time of a failed call may only have lapsed. */
+#define LAPSE_WINDOW_US 5000000LL
+/* The page on the store says that entries that lapsed are back within two
+ * seconds; an endpoint that left serves on for as long. */
+#define LAPSE_GRACE_US 1500000LL
+
+static void call_now(struct follow *f);
+
+static void timer_set(struct follow *f, double after_s)
+{
+	ev_timer_stop(f->g->loop, &f->timer);
+	ev_timer_set(&f->timer, after_s, 0.);
+	ev_timer_start(f->g->loop, &f->timer);
+}
+
+/* Puts a configuration in force if it is newer than the one in force. */
+static void take_directory(struct gateway *g, const char *value, size_t n,
+			   uint64_t offset, const char *source)
+{
+	char why[ADAPTER_WHY_BYTES] = "";
+	struct directory *d = adapter_read_directory(value, n, why);
+	uint32_t i;
+
+	if (!d) {
+		logline(LOG_ERR, "config_rejected",
+			"offset=%llu source=%s why=\"%s\"",
+			(unsigned long long)offset, source, why);
+		return;
+	}
+	if (g->directory && d->version <= g->directory->version) {
+		logline(LOG_INFO, "config_old",
+			"version=%lld held=%lld source=%s",
+			(long long)d->version, (long long)g->directory->version,
+			source);
+		directory_unref(d);
+		return;
+	}
+	logline(LOG_NOTICE, "config_in_force",
+		"version=%lld before=%lld offset=%llu source=%s routes=%u "
+		"accounts=%u",
+		(long long)d->version,
+		g->directory ? (long long)g->directory->version : -1LL,
+		(unsigned long long)offset, source, d->n_routes, d->n_accounts);
+	directory_unref(g->directory);
+	g->directory = d;
+	g->limits.header_max_bytes = d->limits.header_max_bytes;
+	g->limits.body_max_bytes = d->limits.body_max_bytes;
+	g->limits.header_timeout_ms = d->limits.header_timeout_ms;
+	g->limits.idle_timeout_ms = d->limits.idle_timeout_ms;
+	for (i = 0; i < d->n_accounts; i++)
+		share_account_set(&g->share, d->account[i].name,
+				  d->account[i].rate_per_s, d->account[i].burst,
+				  gateway_now_us(g));
+}
+
+static void take_operators(struct gateway *g, const char *key,
+			   const char *value, size_t n, uint64_t offset,
+			   const char *source)
+{
+	const char *domain = "";
+
+	switch (adapter_operator_kind(key, &domain)) {
+	case ADAPTER_DIRECTORY:
+		if (value)
+			take_directory(g, value, n, offset, source);
+		return;
+	case ADAPTER_WITHDRAW:
+		logline(LOG_NOTICE, value ? "domain_out" : "domain_back",
+			"domain=%s offset=%llu source=%s", domain,
+			(unsigned long long)offset, source);
+		fleet_withdraw(&g->fleet, domain, value != NULL);
+		return;
+	case ADAPTER_OTHER:
+		return;
+	}
+}
+
+/* Tells whether a call to the store failed a short time ago. */
+static bool store_was_away(const struct gateway *g, int64_t now_us)
+{
+	int t;
+
+	for (t = 0; t < ADAPTER_TOPICS; t++)
+		if (g->follow[t].failed_us &&
+		    now_us - g->follow[t].failed_us < LAPSE_WINDOW_US)
+			return true;
+	return false;
+}
+
+static void endpoint_gone(struct gateway *g, const char *id, uint64_t offset,
+			  const char *source)
+{
+	struct fleet_endpoint *e = fleet_find(&g->fleet, id);
+	int64_t now_us = gateway_now_us(g);
+	bool lapsed;
+
+	if (!e)
+		return;
+	lapsed = !e->says.leaving && store_was_away(g, now_us);
+	logline(LOG_NOTICE, lapsed ? "endpoint_lapsed" : "endpoint_gone",
+		"endpoint=%s offset=%llu source=%s running=%u", id,
+		(unsigned long long)offset, source, e->running);
+	fleet_leave(&g->fleet, id, offset,
+		    now_us + (lapsed ? LAPSE_GRACE_US : 0), now_us);
+}
+
+static void take_endpoint(struct gateway *g, const char *id, const char *value,
+			  size_t n, uint64_t offset, const char *source)
+{
+	char why[ADAPTER_WHY_BYTES] = "";
+	struct fleet_entry entry;
+	struct fleet_endpoint *e = fleet_find(&g->fleet, id);
+	bool known = e != NULL, was_leaving = e && e->says.leaving;
+
+	if (!value) {
+		endpoint_gone(g, id, offset, source);
+		return;
+	}
+	if (adapter_read_endpoint(id, value, n, &entry, why) < 0) {
+		logline(LOG_WARNING, "endpoint_unreadable",
+			"endpoint=%s offset=%llu source=%s why=\"%s\"", id,
+			(unsigned long long)offset, source, why);
+		endpoint_gone(g, id, offset, source);
+		return;
+	}
+	if (!fleet_enter(&g->fleet, &entry, offset, gateway_now_us(g)))
+		return;
+	if (!known || was_leaving != entry.leaving)
+		logline(LOG_NOTICE,
+			entry.leaving ? "endpoint_leaves" : "endpoint",
+			"endpoint=%s service=%s domain=%s addr=%s stage=%d "
+			"cold_ms=%u offset=%llu source=%s",
+			id, entry.service, entry.domain, entry.addr_text,
+			entry.stage, entry.cold_ms, (unsigned long long)offset,
+			source);
+}
+
+/* A host's record holds its address for other hosts. */
+static void take_host(struct gateway *g, const char *name, const char *value,
+		      size_t n)
+{
+	char addr[SETUP_ADDR_BYTES];
+
+	if (!value) {
+		beats_host_gone(g, name);
+		return;
+	}
+	if (n >= sizeof(addr))
+		return;
+	memcpy(addr, value, n);
+	addr[n] = '\0';
+	beats_host_found(g, name, addr);
+}
+
+/* Takes a record from the store or from another host, if it is newer. */
+void follow_take(struct gateway *g, enum adapter_topic t, const char *key,
+		 const char *value, size_t n, uint64_t offset,
+		 const char *source)
+{
+	if (records_put(&g->records[t], key, value, n, offset) <= 0)
+		return;
+	switch (t) {
+	case ADAPTER_OPERATORS:
+		take_operators(g, key, value, n, offset, source);
+		break;
+	case ADAPTER_ENDPOINTS:
+		take_endpoint(g, key, value, n, offset, source);
+		break;
+	case ADAPTER_HOSTS:
+		take_host(g, key, value, n);
+		break;
+	case ADAPTER_TOPICS:
+		break;
+	}
+}
+
+static void take_from_store(void *ctx, const char *key, const char *value,
+			    size_t n, uint64_t offset)
+{
+	struct follow *f = ctx;
+
+	follow_take(f->g, f->topic, key, value, n, offset, "store");
+}
+
+/* A snapshot lacks a key that was held: its record is taken as gone. */
+static void take_missing(void *ctx, const char *key, const char *value,
+			 size_t n, uint64_t offset)
+{
+	struct follow *f = ctx;
+
+	switch (f->topic) {
+	case ADAPTER_OPERATORS:
+		take_operators(f->g, key, NULL, 0, offset, "snapshot");
+		break;
+	case ADAPTER_ENDPOINTS:
+		endpoint_gone(f->g, key, offset, "snapshot");
+		break;
+	case ADAPTER_HOSTS:
+		beats_host_gone(f->g, key);
+		break;
+	case ADAPTER_TOPICS:
+		break;
+	}
+}
+
+static void snapshot_start(struct follow *f)
+{
+	f->in_snapshot = true;
+	f->after[0] = '\0';
+	records_snapshot_start(&f->g->records[f->topic]);
+}
+
+static double interval_of(const struct follow *f)
+{
+	switch (f->topic) {
+	case ADAPTER_ENDPOINTS:
+		return ENDPOINTS_INTERVAL_S;
+	case ADAPTER_HOSTS:
+		return HOSTS_INTERVAL_S;
+	case ADAPTER_OPERATORS:
+	case ADAPTER_TOPICS:
+		break;
+	}
+	return 0;
+}
+
+/* The call failed: the next one comes after a pause that grows. */
+static void failed(struct follow *f, const char *why)
+{
+	double after_s = RETRY_FIRST_S;
+	uint32_t i;
+
+	f->failed_us = gateway_now_us(f->g);
+	stats_add(&f->g->stats, STATS_store_failures, 1);
+	if (!f->failures++)
+		logline(LOG_WARNING, "store_lost",
+			"stream=%d why=\"%s\" status=%u", f->topic, why,
+			f->status);
+	for (i = 1; i < f->failures && after_s < RETRY_MAX_S; i++)
+		after_s *= 2;
+	if (after_s > RETRY_MAX_S)
+		after_s = RETRY_MAX_S;
+	timer_set(f, after_s);
+}
+
+/* A page of the snapshot came. Returns 0, or -EBADMSG. */
+static int take_page(struct follow *f)
+{
+	bool first = f->after[0] == '\0', more = false;
+	uint64_t end = 0;
+	int r = adapter_read_newest(h1_buf_data(&f->answer),
+				    h1_buf_bytes(&f->answer), take_from_store,
+				    f, &more, f->after, sizeof(f->after), &end);
+
+	if (r < 0)
+		return r;
+	if (first)
+		f->snapshot_end = end;
+	if (more)
+		return 0;
+	records_snapshot_end(&f->g->records[f->topic], f->snapshot_end,
+			     take_missing, f);
+	f->in_snapshot = f->topic == ADAPTER_HOSTS;
+	return 0;
+}
+
+static int take_records(struct follow *f)
+{
+	struct records *r = &f->g->records[f->topic];
+	uint64_t next = r->upto;
+	int error = adapter_read_records(h1_buf_data(&f->answer),
+					 h1_buf_bytes(&f->answer),
+					 take_from_store, f, r->upto, &next);
+
+	if (error == 0 && next > r->upto)
+		r->upto = next;
+	return error;
+}
+
+/* The answer is whole: takes it in and calls again when it is time. */
+static void take_answer(struct follow *f)
+{
+	bool was_snapshot = f->in_snapshot;
+	int r = 0;
+
+	if (f->status == 410 && !f->in_snapshot) {
+		logline(LOG_NOTICE, "store_history_gone", "stream=%d from=%llu",
+			f->topic,
+			(unsigned long long)f->g->records[f->topic].upto);
+		snapshot_start(f);
+		call_now(f);
+		return;
+	}
+	if (f->status != 200) {
+		failed(f, "refused");
+		return;
+	}
+	r = f->in_snapshot ? take_page(f) : take_records(f);
+	if (r < 0) {
+		failed(f, "unreadable");
+		return;
+	}
+	if (f->failures)
+		logline(LOG_NOTICE, "store_back", "stream=%d failures=%u",
+			f->topic, f->failures);
+	f->failures = 0;
+	f->ok_us = gateway_now_us(f->g);
+	if (was_snapshot && f->after[0] && f->in_snapshot &&
+	    f->topic != ADAPTER_HOSTS) {
+		call_now(f);
+		return;
+	}
+	if (f->topic == ADAPTER_HOSTS)
+		snapshot_start(f);
+	timer_set(f, was_snapshot && f->topic != ADAPTER_HOSTS
+			     ? 0.
+			     : interval_of(f));
+}
+
+static enum h1_verdict on_head(void *ctx, const struct h1_head *h)
+{
+	struct follow *f = ctx;
+
+	f->status = h->status;
+	return H1_TAKE;
+}
+
+static void on_body(void *ctx, const void *p, size_t n)
+{
+	struct follow *f = ctx;
+
+	h1_buf_add(&f->answer, p, n);
+}
+
+static void on_end(void *ctx, enum h1_end end, const char *reason)
+{
+	struct follow *f = ctx;
+
+	ev_timer_stop(f->g->loop, &f->timer);
+	if (end == H1_WHOLE)
+		take_answer(f);
+	else
+		failed(f, reason);
+}
+
+static const struct h1_exchange_handlers handlers = {on_head, on_body, on_end};
+
+static void call_now(struct follow *f)
+{
+	struct gateway *g = f->g;
+	struct sockaddr_in addr;
+	struct h1_buf request = {0};
+	double timeout_s = CALL_TIMEOUT_S;
+	uint32_t wait_ms = f->topic == ADAPTER_OPERATORS ? WAIT_MS : 0;
+
+	if (f->in_snapshot) {
+		adapter_write_newest(&request, g->setup->store_addr, f->topic,
+				     f->after);
+	} else {
+		adapter_write_read(&request, g->setup->store_addr, f->topic,
+				   g->records[f->topic].upto, wait_ms);
+		timeout_s += wait_ms / 1000.;
+	}
+	h1_buf_finish(&f->answer);
+	f->status = 0;
+	stats_add(&g->stats, STATS_store_calls, 1);
+	if (h1_addr(g->setup->store_addr, &addr) < 0 ||
+	    h1_exchange_start(&g->store, &f->exchange, &addr,
+			      h1_buf_data(&request), h1_buf_bytes(&request),
+			      &handlers, f) < 0)
+		failed(f, "no connection");
+	else
+		timer_set(f, timeout_s);
+	h1_buf_finish(&request);
+}
+
+static void on_timer(struct ev_loop *loop, ev_timer *w, int events)
+{
+	struct follow *f = w->data;
+
+	if (f->exchange.link) {
+		h1_exchange_cancel(&f->exchange);
+		failed(f, "no answer in time");
+		return;
+	}
+	call_now(f);
+}
+
+static void put_end(void *ctx, enum h1_end end, const char *reason);
+
+static enum h1_verdict put_head(void *ctx, const struct h1_head *h)
+{
+	struct gateway *g = ctx;
+
+	g->registered = h->status == 200;
+	return H1_TAKE;
+}
+
+static void put_body(void *ctx, const void *p, size_t n)
+{
+}
+
+static const struct h1_exchange_handlers put_handlers = {put_head, put_body,
+							 put_end};
+
+/* Writes this host's record, or removes it. */
+static void put_now(struct gateway *g, const char *value)
+{
+	struct sockaddr_in addr;
+	struct h1_buf request = {0};
+
+	adapter_write_put(&request, g->setup->store_addr, ADAPTER_HOSTS,
+			  g->setup->host, value, strlen(value));
+	stats_add(&g->stats, STATS_store_calls, 1);
+	if (h1_addr(g->setup->store_addr, &addr) == 0)
+		h1_exchange_start(&g->store, &g->put, &addr,
+				  h1_buf_data(&request), h1_buf_bytes(&request),
+				  &put_handlers, g);
+	h1_buf_finish(&request);
+}
+
+static void put_end(void *ctx, enum h1_end end, const char *reason)
+{
+	struct gateway *g = ctx;
+
+	if (end == H1_WHOLE && g->registered) {
+		ev_timer_stop(g->loop, &g->put_timer);
+		return;
+	}
+	logline(LOG_WARNING, "host_record_failed", "why=\"%s\"", reason);
+}
+
+static void on_put_timer(struct ev_loop *loop, ev_timer *w, int events)
+{
+	struct gateway *g = w->data;
+
+	h1_exchange_cancel(&g->put);
+	put_now(g, g->setup->peer_addr);
+}
+
+/* Starts to follow, and writes this host's record. */
+void follow_init(struct gateway *g)
+{
+	int t;
+
+	for (t = 0; t < ADAPTER_TOPICS; t++) {
+		struct follow *f = &g->follow[t];
+
+		f->g = g;
+		f->topic = (enum adapter_topic)t;
+		ev_timer_init(&f->timer, on_timer, 0., 0.);
+		f->timer.data = f;
+		snapshot_start(f);
+		timer_set(f, 0.);
+	}
+	ev_timer_init(&g->put_timer, on_put_timer, 0., RETRY_MAX_S);
+	g->put_timer.data = g;
+	ev_timer_start(g->loop, &g->put_timer);
+}
+
+/* Removes this host's record, so that others do not wait for it. */
+void follow_unregister(struct gateway *g)
+{
+	ev_timer_stop(g->loop, &g->put_timer);
+	h1_exchange_cancel(&g->put);
+	put_now(g, "");
+}
+
+/* Stops to follow and frees what was read. */
+void follow_finish(struct gateway *g)
+{
+	int t;
+
+	ev_timer_stop(g->loop, &g->put_timer);
+	h1_exchange_cancel(&g->put);
+	for (t = 0; t < ADAPTER_TOPICS; t++) {
+		ev_timer_stop(g->loop, &g->follow[t].timer);
+		h1_exchange_cancel(&g->follow[t].exchange);
+		h1_buf_finish(&g->follow[t].answer);
+		records_finish(&g->records[t]);
+	}
+	directory_unref(g->directory);
+	g->directory = NULL;
+}
--- /dev/null
+++ b/cmd/figbend/gateway/gateway.h
@@ -0,0 +1,153 @@
+#ifndef FIGBEND_GATEWAY_H
+#define FIGBEND_GATEWAY_H
+
+#include <ev.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <sys/queue.h>
+
+#include "adapter.h"
+#include "call.h"
+#include "directory.h"
+#include "fleet.h"
+#include "h1.h"
+#include "peer.h"
+#include "record.h"
+#include "setup.h"
+#include "share.h"
+#include "stats.h"
+
+/*
+ * A host before a platform's pools. The struct is the board: each section has
+ * one file that writes it, named beside it, and all others only read.
+ */
+
+struct gateway;
+struct run;
+TAILQ_HEAD(runs, run);
+
+/* follow.c: how far this host is with one of the store's streams. */
+struct follow {
+	struct gateway *g;
+	enum adapter_topic topic;
+	struct h1_exchange exchange;
+	struct h1_buf answer;
+	uint16_t status;
+	bool in_snapshot;
+	char after[RECORD_KEY_BYTES];
+	uint64_t snapshot_end;
+	ev_timer timer; /* the next call, or the end of the present one */
+	int64_t ok_us;	/* last answer */
+	int64_t failed_us;
+	uint32_t failures; /* in a row */
+};
+
+/* beats.c: another host. */
+struct gateway_peer {
+	TAILQ_ENTRY(gateway_peer) entry;
+	char name[SETUP_NAME_BYTES];
+	char addr[SETUP_ADDR_BYTES];
+	int64_t heard_us; /* 0: never */
+	uint64_t upto[FIG_TOPICS];
+	bool asked;
+	struct gateway_peer_load *load;
+	uint32_t n_loads;
+};
+TAILQ_HEAD(gateway_peers, gateway_peer);
+
+struct errand;
+TAILQ_HEAD(errands, errand);
+
+struct gateway {
+	struct ev_loop *loop;
+	const struct setup *setup;
+	uint64_t boot_us;
+	uint64_t random;
+
+	/* gateway.c */
+	struct h1_server callers;
+	struct h1_server readiness;
+	struct h1_server metrics;
+	struct h1_client endpoints;
+	struct h1_client store;
+	struct h1_limits limits;
+	struct h1_limits own_limits;
+	ev_signal on_term;
+	ev_signal on_hup;
+	ev_timer sweep;
+	ev_prepare before_wait;
+	bool stopping;
+	int64_t stop_us;
+
+	/* follow.c */
+	struct follow follow[ADAPTER_TOPICS];
+	struct records records[ADAPTER_TOPICS];
+	struct directory *directory; /* NULL: none yet */
+	struct h1_exchange put;
+	struct h1_buf put_answer;
+	ev_timer put_timer;
+	bool registered;
+
+	/* run files; beliefs also from follow.c, beats.c and probe.c */
+	struct fleet fleet;
+	struct runs runs;
+	struct runs waiting; /* for room at an endpoint, by arrival */
+	uint32_t n_runs;
+	uint32_t n_waiting;
+	ev_timer retry_waiting;
+
+	/* beats.c */
+	struct peer peer;
+	struct gateway_peers peers;
+	ev_timer beat;
+	struct share share;
+
+	struct share_budgets budgets; /* runs */
+	struct stats stats;	      /* all */
+
+	ev_timer probe;		/* probe.c */
+	struct errands errands; /* errand.c */
+};
+
+int gateway_init(struct gateway *g, const struct setup *s);
+void gateway_finish(struct gateway *g);
+
+int64_t gateway_now_us(const struct gateway *g);
+int64_t gateway_clock_us(void);
+uint64_t gateway_random(struct gateway *g);
+bool gateway_ready(const struct gateway *g);
+
+/* follow.c */
+void follow_init(struct gateway *g);
+void follow_finish(struct gateway *g);
+void follow_take(struct gateway *g, enum adapter_topic t, const char *key,
+		 const char *value, size_t n, uint64_t offset,
+		 const char *source);
+void follow_unregister(struct gateway *g);
+
+/* beats.c */
+int beats_init(struct gateway *g);
+void beats_finish(struct gateway *g);
+void beats_host_found(struct gateway *g, const char *name, const char *addr);
+void beats_host_gone(struct gateway *g, const char *name);
+
+/* errand.c: calls whose outcome no request waits for. */
+void errand_hold_drop(struct gateway *g, struct fleet_endpoint *e,
+		      const char *hold);
+void errand_handle_drop(struct gateway *g, struct fleet_endpoint *e,
+			const char *handle);
+/* Takes a load report in. */
+void errand_report(struct gateway *g, struct fleet_endpoint *e);
+void errand_finish(struct gateway *g);
+
+/* probe.c */
+void probe_init(struct gateway *g);
+void probe_finish(struct gateway *g);
+
+/* run.c */
+void run_init(struct gateway *g);
+void run_request(void *ctx, struct h1_conn *c);
+void run_caller_gone(void *ctx, struct h1_conn *c);
+void run_retry_waiting(struct gateway *g);
+
+#endif
--- /dev/null
+++ b/cmd/figbend/gateway/pools.c
@@ -0,0 +1,498 @@
+#include "run.h"
+
+#include <string.h>
+
+#include "logline.h"
+
+/*
+ * Requests to model engines: memory is reserved at a decode endpoint, the prompt
+ * is read at a prefill endpoint, and the decode endpoint takes the result over
+ * and streams. A decode endpoint can read the prompt itself, at half the speed.
+ */
+
+/* A request that waits for room is refused when so many targets are over. */
+#define WAIT_TARGETS 2.0
+/* A reservation answers from memory; longer means that the connection hangs. */
+#define HOLD_TIMEOUT_US 200000LL
+/* A reservation covers the prefill and the transfer. */
+#define HOLD_MS 1500
+/* Endpoints that are asked for room before the request waits again. */
+#define HOLDS_A_TURN 3
+/* A prefill takes 100 ms for 3,300 tokens, and waits for others before it. */
+#define PREFILL_TIMEOUT_US 900000LL
+/* A pause between events after which an endpoint is taken for dead; a stream
+ * that can be resumed goes on elsewhere. */
+#define GAP_DEAD_US 1300000LL
+/* Memory goes by blocks; a stream may end in the middle of one. */
+#define BLOCK_TOKENS 16
+/* Of outputs, half are longer than the caller's estimate. */
+#define LIKELY_FACTOR 1.3
+
+static void ask_hold(struct run *r);
+static void ask_prefill(struct run *r);
+static void ask_decode(struct run *r);
+
+/* Memory that the request will take at its endpoint. */
+static uint32_t need_of(const struct run *r)
+{
+	const struct call_prompt *p = &r->call.prompt;
+	uint32_t out = p->output_max_tokens;
+	double likely = p->output_likely_tokens * LIKELY_FACTOR;
+
+	if (likely > 0 && likely < out)
+		out = (uint32_t)likely;
+	return (p->prompt_tokens + out) / BLOCK_TOKENS * BLOCK_TOKENS +
+	       BLOCK_TOKENS;
+}
+
+static void target_of(const struct fleet_endpoint *e, struct adapter_target *t)
+{
+	t->addr = e->says.addr_text;
+	t->endpoint_id = e->says.id;
+}
+
+/* Gives back what the request has reserved and not used. */
+void pools_release(struct run *r)
+{
+	if (r->hold[0] && r->endpoint)
+		errand_hold_drop(r->g, r->endpoint, r->hold);
+	r->hold[0] = '\0';
+	if (r->handle[0] && r->prefiller) {
+		stats_add(&r->g->stats, STATS_prefills_lost, 1);
+		errand_handle_drop(r->g, r->prefiller, r->handle);
+	}
+	r->handle[0] = '\0';
+	if (r->prefiller && r->prefill_counted)
+		fleet_prompt_read(r->prefiller, r->call.prompt.prompt_tokens);
+	r->prefill_counted = false;
+	fleet_unref(r->prefiller);
+	r->prefiller = NULL;
+}
+
+/* The present endpoint is given up; the request looks for another. */
+static void look_again(struct run *r)
+{
+	run_step_timer(r, 0);
+	pools_release(r);
+	run_leave_endpoint(r);
+	run_advance(r);
+}
+
+/* A step failed at an endpoint; nothing that counts as the request ran. */
+static void log_step(const struct run *r, const struct fleet_endpoint *e,
+		     const char *step, const char *reason)
+{
+	int64_t now_us = gateway_now_us(r->g);
+
+	logline(LOG_INFO, "step_failed",
+		"request=%s step=%s endpoint=%s why=\"%s\" took_ms=%lld "
+		"free_tokens=%lld report_age_ms=%lld",
+		r->call.id, step, e->says.id, reason,
+		(long long)(now_us - r->sent_us) / 1000,
+		(long long)fleet_free_tokens(e, r->service->engine.kv_tokens),
+		e->report_us ? (long long)(now_us - e->report_us) / 1000
+			     : -1LL);
+}
+
+static enum h1_verdict on_call_head(void *ctx, const struct h1_head *h)
+{
+	struct run *r = ctx;
+	struct call_answer a;
+
+	adapter_read_answer(h, &a);
+	if (r->step == RUN_PREFILL && a.id && strcmp(a.id, r->call.id) != 0) {
+		stats_add(&r->g->stats, STATS_answers_foreign, 1);
+		return H1_SKIP;
+	}
+	r->status = h->status;
+	r->not_run = a.not_run;
+	h1_buf_finish(&r->body);
+	return H1_TAKE;
+}
+
+static void on_call_body(void *ctx, const void *p, size_t n)
+{
+	struct run *r = ctx;
+
+	h1_buf_add(&r->body, p, n);
+}
+
+static void hold_denied(struct run *r, enum fleet_outcome outcome,
+			const char *reason)
+{
+	int64_t now_us = gateway_now_us(r->g);
+
+	log_step(r, r->endpoint, "hold", reason);
+	stats_add(&r->g->stats, STATS_holds_denied, 1);
+	fleet_outcome(r->endpoint, outcome, now_us - r->sent_us, now_us);
+	run_leave_endpoint(r);
+	if (++r->holds_denied % HOLDS_A_TURN == 0)
+		run_wait(r);
+	else
+		run_advance(r);
+}
+
+static void on_hold_end(void *ctx, enum h1_end end, const char *reason)
+{
+	struct run *r = ctx;
+
+	run_step_timer(r, 0);
+	if (end == H1_WHOLE && r->status == 200 &&
+	    adapter_read_hold(h1_buf_data(&r->body), h1_buf_bytes(&r->body),
+			      r->hold) == 0) {
+		stats_add(&r->g->stats, STATS_holds, 1);
+		ask_prefill(r);
+	} else if (end != H1_WHOLE) {
+		hold_denied(r,
+			    end == H1_NOT_SENT ? FLEET_NO_CONNECTION
+					       : FLEET_FAILED,
+			    reason);
+	} else {
+		hold_denied(r, r->status == 421 ? FLEET_WRONG : FLEET_SHED,
+			    "no room");
+	}
+}
+
+static const struct h1_exchange_handlers hold_handlers = {
+	on_call_head, on_call_body, on_hold_end};
+
+/* Reserves a slot and memory at the endpoint. */
+static void ask_hold(struct run *r)
+{
+	struct h1_buf request = {0};
+	struct adapter_target t;
+	uint32_t ttl_ms = r->service->engine.hold_max_ms;
+
+	target_of(r->endpoint, &t);
+	adapter_write_hold(&request, &t, r->need_tokens,
+			   ttl_ms < HOLD_MS ? ttl_ms : HOLD_MS);
+	r->step = RUN_HOLD;
+	r->sent_us = gateway_now_us(r->g);
+	if (h1_exchange_start(&r->g->endpoints, &r->exchange,
+			      &r->endpoint->says.addr, h1_buf_data(&request),
+			      h1_buf_bytes(&request), &hold_handlers, r) < 0)
+		hold_denied(r, FLEET_NO_CONNECTION, "no socket");
+	else
+		run_step_timer(r, HOLD_TIMEOUT_US);
+	h1_buf_finish(&request);
+}
+
+static void prefill_failed(struct run *r, enum fleet_outcome outcome,
+			   const char *reason)
+{
+	int64_t now_us = gateway_now_us(r->g);
+
+	log_step(r, r->prefiller, "prefill", reason);
+	stats_add(&r->g->stats, STATS_prefills_lost, 1);
+	fleet_outcome(r->prefiller, outcome, now_us - r->sent_us, now_us);
+	fleet_prompt_read(r->prefiller, r->call.prompt.prompt_tokens);
+	r->prefill_counted = false;
+	fleet_unref(r->prefiller);
+	r->prefiller = NULL;
+	/* A second prefill counts like a second send; the endpoint can read
+	 * the prompt itself. */
+	r->no_prefill = true;
+	ask_decode(r);
+}
+
+static void on_prefill_end(void *ctx, enum h1_end end, const char *reason)
+{
+	struct run *r = ctx;
+	int64_t now_us = gateway_now_us(r->g);
+
+	run_step_timer(r, 0);
+	if (end == H1_NOT_SENT) {
+		prefill_failed(r, FLEET_NO_CONNECTION, reason);
+		return;
+	}
+	if (end != H1_WHOLE) {
+		prefill_failed(r, FLEET_FAILED, reason);
+		return;
+	}
+	if (r->status != 200 ||
+	    adapter_read_prefill(h1_buf_data(&r->body), h1_buf_bytes(&r->body),
+				 r->handle) < 0) {
+		prefill_failed(r, r->status == 421 ? FLEET_WRONG : FLEET_SHED,
+			       "refused");
+		return;
+	}
+	stats_add(&r->g->stats, STATS_prefills, 1);
+	stats_took(&r->g->stats, STATS_prefill_s, now_us - r->sent_us);
+	fleet_outcome(r->prefiller, FLEET_GOOD, now_us - r->sent_us, now_us);
+	fleet_prompt_read(r->prefiller, r->call.prompt.prompt_tokens);
+	r->prefill_counted = false;
+	ask_decode(r);
+}
+
+static const struct h1_exchange_handlers prefill_handlers = {
+	on_call_head, on_call_body, on_prefill_end};
+
+/* Has the prompt read at a prefill endpoint near the decode endpoint. */
+static void ask_prefill(struct run *r)
+{
+	struct gateway *g = r->g;
+	struct fleet_want want = {
+		.service = r->service->name,
+		.stage = FLEET_PREFILL,
+		.cold_per_s = r->service->cold_per_s,
+		.near = r->endpoint->says.domain,
+	};
+	int64_t now_us = gateway_now_us(g);
+	enum fleet_none why;
+	struct fleet_endpoint *e;
+
+	if (r->no_prefill || r->prefilled_once || r->events.last_id >= 0) {
+		ask_decode(r);
+		return;
+	}
+	e = fleet_choose(&g->fleet, &want, now_us, &why);
+	if (!e) {
+		r->no_prefill = true;
+		ask_decode(r);
+		return;
+	}
+	r->step = RUN_PREFILL;
+	r->prefiller = fleet_ref(e);
+	r->prefill_counted = true;
+	r->prefilled_once = true;
+	e->prompt_tokens += r->call.prompt.prompt_tokens;
+	if (run_send(r, e, CALL_PREFILL, &prefill_handlers) < 0)
+		prefill_failed(r, FLEET_NO_CONNECTION, "no socket");
+	else
+		run_step_timer(r, PREFILL_TIMEOUT_US);
+}
+
+static bool is_stream(const struct run *r)
+{
+	return r->route->kind == CALL_STREAM && r->status == 200 &&
+	       r->signature && !r->not_run;
+}
+
+/* The endpoint did not run the request, or broke off. */
+static void decode_failed(struct run *r, enum fleet_outcome outcome,
+			  bool may_have_run, const char *reason)
+{
+	int64_t now_us = gateway_now_us(r->g);
+
+	log_step(r, r->endpoint, "decode", reason);
+	fleet_outcome(r->endpoint, outcome, now_us - r->sent_us, now_us);
+	events_drop_partial(&r->events);
+	h1_buf_finish(&r->body);
+	if (outcome != FLEET_SHED)
+		run_tried(r, r->endpoint);
+	if (outcome != FLEET_NO_CONNECTION)
+		r->sends++;
+	if (may_have_run)
+		r->ran++;
+	if (may_have_run &&
+	    (!run_may_repeat(r) || r->ran >= r->route->attempts)) {
+		run_fail(r, 502, reason);
+		return;
+	}
+	if (r->sends && !run_spend_again(r)) {
+		if (r->started)
+			run_fail(r, 502, reason);
+		else
+			run_refuse(r, reason);
+		return;
+	}
+	if (r->started) {
+		r->resumes++;
+		stats_add(&r->g->stats, STATS_resumed, 1);
+	}
+	look_again(r);
+}
+
+static enum h1_verdict on_decode_head(void *ctx, const struct h1_head *h)
+{
+	struct run *r = ctx;
+	struct call_answer a;
+
+	adapter_read_answer(h, &a);
+	if (a.id && strcmp(a.id, r->call.id) != 0) {
+		stats_add(&r->g->stats, STATS_answers_foreign, 1);
+		return H1_SKIP;
+	}
+	if (a.has_load)
+		fleet_load(r->endpoint, a.running, a.waiting,
+			   gateway_now_us(r->g));
+	r->status = h->status;
+	r->not_run = a.not_run;
+	r->signature = a.signature && !a.encoded;
+	h1_buf_finish(&r->body);
+	if (!r->started) {
+		h1_buf_finish(&r->fields);
+		adapter_answer_fields(h, &r->fields);
+	}
+	return H1_TAKE;
+}
+
+/* Hands whole events on; the first brings the caller the head. */
+static void give_events(struct run *r, const struct h1_buf *out)
+{
+	int64_t now_us = gateway_now_us(r->g);
+
+	if (!r->started) {
+		r->started = true;
+		r->status = 200;
+		stats_took(&r->g->stats, STATS_first_event_s,
+			   now_us - r->read_us);
+		h1_stream_start(r->conn, r->status, h1_buf_data(&r->fields));
+	} else if (now_us - r->event_us > r->gap_us) {
+		r->gap_us = now_us - r->event_us;
+	}
+	r->event_us = now_us;
+	h1_stream_piece(r->conn, h1_buf_data(out), h1_buf_bytes(out));
+	if (r->route->resumable)
+		run_step_timer(r, GAP_DEAD_US);
+}
+
+static void on_decode_body(void *ctx, const void *p, size_t n)
+{
+	struct run *r = ctx;
+	struct h1_buf out = {0};
+	int count;
+
+	if (!is_stream(r)) {
+		h1_buf_add(&r->body, p, n);
+		return;
+	}
+	count = events_feed(&r->events, p, n, &out);
+	if (h1_buf_bytes(&out))
+		give_events(r, &out);
+	h1_buf_finish(&out);
+	if (count < 0) {
+		h1_exchange_cancel(&r->exchange);
+		decode_failed(r, FLEET_FAILED, true, "events out of order");
+	}
+}
+
+static void stream_ended(struct run *r)
+{
+	int64_t now_us = gateway_now_us(r->g);
+
+	fleet_outcome(r->endpoint, FLEET_GOOD, now_us - r->sent_us, now_us);
+	if (h1_buf_bytes(&r->events.partial)) {
+		decode_failed(r, FLEET_FAILED, true, "ended within an event");
+		return;
+	}
+	if (!r->started) {
+		r->started = true;
+		h1_stream_start(r->conn, r->status, h1_buf_data(&r->fields));
+	}
+	run_deliver(r);
+}
+
+static void on_decode_end(void *ctx, enum h1_end end, const char *reason)
+{
+	struct run *r = ctx;
+
+	run_step_timer(r, 0);
+	r->hold[0] = '\0';
+	if (end == H1_NOT_SENT) {
+		decode_failed(r, FLEET_NO_CONNECTION, false, reason);
+	} else if (end != H1_WHOLE) {
+		decode_failed(r, FLEET_FAILED, true, reason);
+	} else if (r->not_run) {
+		decode_failed(r, r->status == 421 ? FLEET_WRONG : FLEET_SHED,
+			      false, "not run");
+	} else if (!r->signature) {
+		decode_failed(r, FLEET_FAILED, true,
+			      "answer without signature");
+	} else if (is_stream(r)) {
+		stream_ended(r);
+	} else if (r->started) {
+		decode_failed(r, FLEET_FAILED, true, "resume refused");
+	} else {
+		fleet_outcome(r->endpoint, FLEET_GOOD, 0, gateway_now_us(r->g));
+		run_deliver(r);
+	}
+}
+
+static const struct h1_exchange_handlers decode_handlers = {
+	on_decode_head, on_decode_body, on_decode_end};
+
+/* Sends the request to the decode endpoint. */
+static void ask_decode(struct run *r)
+{
+	bool transfer = r->handle[0] != '\0';
+	int error;
+
+	if (run_left_us(r) <= 0) {
+		run_advance(r);
+		return;
+	}
+	r->step = RUN_SENT;
+	error = run_send(r, r->endpoint, transfer ? CALL_TRANSFER : CALL_WHOLE,
+			 &decode_handlers);
+	/* From here on the result is the decode endpoint's to take. */
+	r->handle[0] = '\0';
+	if (error < 0)
+		decode_failed(r, FLEET_NO_CONNECTION, false, "no socket");
+	else if (r->route->resumable)
+		run_step_timer(r, GAP_DEAD_US);
+}
+
+/* Finds a decode endpoint with room, or waits for one. */
+void pools_advance(struct run *r)
+{
+	struct gateway *g = r->g;
+	struct fleet_want want = {
+		.service = r->service->name,
+		.stage = FLEET_DECODE,
+		.tokens = need_of(r),
+		.total_tokens = r->service->engine.kv_tokens,
+		.cold_per_s = r->service->cold_per_s,
+		.n_not_on = r->n_tried,
+	};
+	int64_t now_us = gateway_now_us(g);
+	enum fleet_none why;
+	struct fleet_endpoint *e;
+
+	if (want.tokens > want.total_tokens && want.total_tokens)
+		want.tokens = want.total_tokens;
+	memcpy(want.not_on, r->tried, sizeof(want.not_on));
+	e = fleet_choose(&g->fleet, &want, now_us, &why);
+	if (!e) {
+		if (!r->started &&
+		    (double)(now_us - r->read_us) >
+			    WAIT_TARGETS * 1000. * r->route->target_ms)
+			run_refuse(r, why == FLEET_ALL_FULL ? "no memory free"
+							    : "no endpoint");
+		else
+			run_wait(r);
+		return;
+	}
+	if (r->wait_us)
+		stats_took(&g->stats, STATS_wait_s, now_us - r->wait_us);
+	r->endpoint = fleet_ref(e);
+	r->need_tokens = want.tokens;
+	r->counted = true;
+	fleet_started(e, want.tokens, 0, now_us);
+	if (r->service->engine.hold_max_ms)
+		ask_hold(r);
+	else
+		ask_prefill(r);
+}
+
+/* The step takes too long: the connection or the endpoint is dead. */
+void pools_timeout(struct run *r)
+{
+	bool sent = h1_exchange_sent(&r->exchange);
+
+	h1_exchange_cancel(&r->exchange);
+	switch (r->step) {
+	case RUN_HOLD:
+		hold_denied(r, FLEET_SILENT, "no answer in time");
+		break;
+	case RUN_PREFILL:
+		prefill_failed(r, FLEET_SILENT, "no answer in time");
+		break;
+	case RUN_SENT:
+		r->hold[0] = '\0';
+		decode_failed(r, FLEET_SILENT, sent, "no event in time");
+		break;
+	case RUN_WAIT:
+		break;
+	}
+}
--- /dev/null
+++ b/cmd/figbend/gateway/run.c
@@ -0,0 +1,454 @@
+#include "run.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "logline.h"
+
+/* Between looks at requests that wait, when nothing else wakes them. */
+#define RETRY_WAITING_S 0.02
+/* An endpoint's own answer at the deadline is still on its way for so long. */
+#define LIMIT_MARGIN_US 60000LL
+/* The longest that a request without any deadline is kept. */
+#define LIMIT_MAX_US 60000000LL
+/* What a refused caller is told when nothing better is known. */
+#define RETRY_AFTER_S 0.4
+
+static const char *const step_names[] = {
+	[RUN_WAIT] = "wait",
+	[RUN_HOLD] = "hold",
+	[RUN_PREFILL] = "prefill",
+	[RUN_SENT] = "sent",
+};
+
+/* Microseconds until the caller or the route gives the request up. */
+int64_t run_left_us(const struct run *r)
+{
+	return r->limit_us - gateway_now_us(r->g);
+}
+
+/* Tells whether the request may go to another endpoint after it may have run. */
+bool run_may_repeat(const struct run *r)
+{
+	if (r->route->kind == CALL_REPEATABLE)
+		return !r->started;
+	return r->route->kind == CALL_STREAM && r->route->resumable;
+}
+
+/* Leaves an endpoint out of later choices. */
+void run_tried(struct run *r, const struct fleet_endpoint *e)
+{
+	if (r->n_tried < RUN_TRIED_MAX)
+		r->tried[r->n_tried++] = e;
+}
+
+/* Starts the step's timer anew. */
+void run_step_timer(struct run *r, int64_t after_us)
+{
+	ev_timer_stop(r->g->loop, &r->step_timer);
+	if (after_us <= 0)
+		return;
+	ev_timer_set(&r->step_timer, (double)after_us / 1e6, 0.);
+	ev_timer_start(r->g->loop, &r->step_timer);
+}
+
+/* Counts the request off the endpoint that it was at. */
+void run_leave_endpoint(struct run *r)
+{
+	if (r->endpoint && r->counted)
+		fleet_ended(r->endpoint, r->need_tokens);
+	fleet_unref(r->endpoint);
+	r->endpoint = NULL;
+	r->counted = false;
+}
+
+/* Frees the request; its caller has its answer or has left. */
+void run_free(struct run *r)
+{
+	struct gateway *g = r->g;
+
+	h1_exchange_cancel(&r->exchange);
+	pools_release(r);
+	run_leave_endpoint(r);
+	ev_timer_stop(g->loop, &r->limit);
+	ev_timer_stop(g->loop, &r->step_timer);
+	if (r->is_waiting) {
+		TAILQ_REMOVE(&g->waiting, r, waiting_entry);
+		g->n_waiting--;
+	}
+	TAILQ_REMOVE(&g->runs, r, entry);
+	g->n_runs--;
+	h1_buf_finish(&r->fields);
+	h1_buf_finish(&r->body);
+	events_finish(&r->events);
+	directory_unref(r->directory);
+	free(r);
+	if (g->n_waiting)
+		ev_feed_event(g->loop, &g->retry_waiting, EV_CUSTOM);
+}
+
+/* One line for each request, with what decided its end. */
+static void log_end(const struct run *r, const char *outcome, uint16_t status,
+		    const char *reason)
+{
+	int64_t now_us = gateway_now_us(r->g);
+
+	logline(LOG_INFO, "request_end",
+		"request=%s outcome=%s status=%u why=\"%s\" step=%s route=%s "
+		"service=%s account=%s endpoint=%s took_ms=%lld left_ms=%lld "
+		"sends=%u ran=%u resumes=%u events=%llu gap_ms=%lld "
+		"config=%lld",
+		r->call.id, outcome, status, reason, step_names[r->step],
+		r->route->name, r->service ? r->service->name : "-",
+		r->account ? r->account->name : "-",
+		r->endpoint ? r->endpoint->says.id : "-",
+		(long long)(now_us - r->read_us) / 1000,
+		(long long)run_left_us(r) / 1000, r->sends, r->ran, r->resumes,
+		(unsigned long long)r->events.n, (long long)r->gap_us / 1000,
+		(long long)r->directory->version);
+}
+
+/* Refuses a request that no endpoint has run or will run. */
+void run_refuse(struct run *r, const char *reason)
+{
+	char fields[64];
+
+	if (r->ran) {
+		run_fail(r, 502, reason);
+		return;
+	}
+	log_end(r, "refused", 503, reason);
+	stats_add(&r->g->stats, STATS_refused_full, 1);
+	snprintf(fields, sizeof(fields), "Retry-After: %g\r\n", RETRY_AFTER_S);
+	h1_answer(r->conn, 503, fields, NULL, 0);
+	run_free(r);
+}
+
+/* Ends a request that may have run, or whose stream has begun. */
+void run_fail(struct run *r, uint16_t status, const char *reason)
+{
+	if (r->started) {
+		log_end(r, "cut", r->status, reason);
+		stats_add(&r->g->stats, STATS_streams_cut, 1);
+		h1_stream_cut(r->conn);
+	} else {
+		log_end(r, "failed", status, reason);
+		stats_add(&r->g->stats, STATS_failed_sent, 1);
+		h1_answer(r->conn, status, NULL, NULL, 0);
+	}
+	run_free(r);
+}
+
+/* Hands a whole answer of an endpoint to the caller. */
+void run_deliver(struct run *r)
+{
+	log_end(r, "answered", r->status, "");
+	stats_add(&r->g->stats, STATS_answered, 1);
+	if (r->started) {
+		stats_took(&r->g->stats, STATS_event_gap_s, r->gap_us);
+		h1_stream_end(r->conn);
+	} else {
+		stats_took(&r->g->stats, STATS_answer_s,
+			   gateway_now_us(r->g) - r->read_us);
+		h1_answer(r->conn, r->status, h1_buf_data(&r->fields),
+			  h1_buf_data(&r->body), h1_buf_bytes(&r->body));
+	}
+	run_free(r);
+}
+
+/* Has the request wait until an endpoint has room. */
+void run_wait(struct run *r)
+{
+	struct gateway *g = r->g;
+
+	r->step = RUN_WAIT;
+	if (r->is_waiting)
+		return;
+	r->is_waiting = true;
+	if (!r->wait_us)
+		r->wait_us = gateway_now_us(g);
+	TAILQ_INSERT_TAIL(&g->waiting, r, waiting_entry);
+	g->n_waiting++;
+	if (!ev_is_active(&g->retry_waiting))
+		ev_timer_again(g->loop, &g->retry_waiting);
+}
+
+/* Takes the next step of a request that no exchange is running for. */
+void run_advance(struct run *r)
+{
+	if (run_left_us(r) <= 0) {
+		if (r->ran)
+			run_fail(r, 504, "out of time");
+		else
+			run_refuse(r, "out of time");
+		return;
+	}
+	if (r->service && r->service->engine.present)
+		pools_advance(r);
+	else
+		plain_advance(r);
+}
+
+/* Looks again at all requests that wait, the first to come first. */
+void run_retry_waiting(struct gateway *g)
+{
+	struct runs now = TAILQ_HEAD_INITIALIZER(now);
+	struct run *r;
+
+	TAILQ_CONCAT(&now, &g->waiting, waiting_entry);
+	g->n_waiting = 0;
+	while ((r = TAILQ_FIRST(&now)) != NULL) {
+		TAILQ_REMOVE(&now, r, waiting_entry);
+		r->is_waiting = false;
+		run_advance(r);
+	}
+	if (!g->n_waiting)
+		ev_timer_stop(g->loop, &g->retry_waiting);
+}
+
+static void on_retry_waiting(struct ev_loop *loop, ev_timer *w, int events)
+{
+	run_retry_waiting(w->data);
+}
+
+/* Prepares for requests. */
+void run_init(struct gateway *g)
+{
+	TAILQ_INIT(&g->runs);
+	TAILQ_INIT(&g->waiting);
+	ev_timer_init(&g->retry_waiting, on_retry_waiting, 0., RETRY_WAITING_S);
+	g->retry_waiting.data = g;
+}
+
+/* Takes a second send of the budget that all hosts share. */
+bool run_spend_again(struct run *r)
+{
+	struct gateway *g = r->g;
+
+	if (share_budget_spend(&g->budgets, r->service->name, g->fleet.hosts,
+			       gateway_now_us(g))) {
+		stats_add(&g->stats, STATS_sends_again, 1);
+		return true;
+	}
+	stats_add(&g->stats, STATS_sends_denied, 1);
+	logline(LOG_INFO, "send_denied", "request=%s service=%s hosts=%u",
+		r->call.id, r->service->name, g->fleet.hosts);
+	return false;
+}
+
+/* See run.h. Returns 0 or a negative error number. */
+int run_send(struct run *r, struct fleet_endpoint *e, enum call_phase phase,
+	     const struct h1_exchange_handlers *h)
+{
+	struct call_send s = {
+		.phase = phase,
+		.endpoint_id = e->says.id,
+		.account = r->account ? r->account->name : NULL,
+		.priority = -1,
+		.resume_after = r->call.resume_after,
+	};
+	struct h1_buf request = {0};
+	int64_t left_us = run_left_us(r);
+	int error;
+
+	s.deadline_ms = (uint32_t)(left_us > 1000 ? left_us / 1000 : 1);
+	if (phase != CALL_PREFILL && r->events.last_id >= 0)
+		s.resume_after = r->events.last_id;
+	if (phase == CALL_TRANSFER) {
+		s.source_addr = r->prefiller->says.addr_text;
+		s.source_handle = r->handle;
+	}
+	if (phase != CALL_PREFILL && r->hold[0])
+		s.hold = r->hold;
+	adapter_write_call(&request, &r->conn->request.head,
+			   &r->conn->request.body, &s);
+	r->sent_us = gateway_now_us(r->g);
+	error = h1_exchange_start(&r->g->endpoints, &r->exchange, &e->says.addr,
+				  h1_buf_data(&request), h1_buf_bytes(&request),
+				  h, r);
+	h1_buf_finish(&request);
+	stats_add(&r->g->stats, STATS_sends, 1);
+	logline(LOG_DEBUG, "send",
+		"request=%s endpoint=%s phase=%d deadline_ms=%u resume=%lld "
+		"error=%d",
+		r->call.id, e->says.id, phase, s.deadline_ms,
+		(long long)s.resume_after, error);
+	return error;
+}
+
+static void on_limit(struct ev_loop *loop, ev_timer *w, int events)
+{
+	struct run *r = w->data;
+
+	if (r->ran || r->started)
+		run_fail(r, 504, "out of time");
+	else
+		run_refuse(r, "out of time");
+}
+
+static void on_step_timer(struct ev_loop *loop, ev_timer *w, int events)
+{
+	struct run *r = w->data;
+
+	if (r->service && r->service->engine.present)
+		pools_timeout(r);
+	else
+		plain_timeout(r);
+}
+
+/* Answers a request for which no run is made. */
+static void turn_away(struct gateway *g, struct h1_conn *c, const char *id,
+		      uint16_t status, enum stats_counter which,
+		      const char *fields, const char *reason)
+{
+	logline(LOG_INFO, "request_end",
+		"request=%s outcome=refused status=%u why=\"%s\" step=intake "
+		"config=%lld",
+		id, status, reason,
+		g->directory ? (long long)g->directory->version : -1LL);
+	stats_add(&g->stats, which, 1);
+	h1_answer(c, status, fields, NULL, 0);
+}
+
+/* What the request counts against its account's limit. */
+static double cost_of(const struct call_head *call,
+		      const struct directory_account *a)
+{
+	if (!a->in_tokens)
+		return 1;
+	if (!call->prompt.present)
+		return a->plain_tokens;
+	return (double)call->prompt.prompt_tokens +
+	       call->prompt.output_max_tokens;
+}
+
+static bool within_limit(struct gateway *g, struct h1_conn *c,
+			 const struct call_head *call,
+			 const struct directory_account *a)
+{
+	double cost, wait_s;
+	char fields[64];
+
+	if (!a)
+		return true;
+	cost = cost_of(call, a);
+	if (share_spend(&g->share, a->name, cost, gateway_now_us(g)))
+		return true;
+	wait_s = share_wait_s(&g->share, a->name, cost, gateway_now_us(g));
+	snprintf(fields, sizeof(fields), "Retry-After: %.2f\r\n",
+		 wait_s > 0.05 ? wait_s : 0.05);
+	turn_away(g, c, call->id, 429, STATS_refused_limit, fields,
+		  "over the account's limit");
+	return false;
+}
+
+static struct run *run_new(struct gateway *g, struct h1_conn *c,
+			   const struct call_head *call)
+{
+	struct run *r = calloc(1, sizeof(*r));
+
+	if (!r)
+		return NULL;
+	r->g = g;
+	r->conn = c;
+	r->call = *call;
+	r->directory = directory_ref(g->directory);
+	r->read_us = gateway_now_us(g);
+	events_init(&r->events);
+	c->call = r;
+	TAILQ_INSERT_TAIL(&g->runs, r, entry);
+	g->n_runs++;
+	ev_timer_init(&r->limit, on_limit, 0., 0.);
+	ev_timer_init(&r->step_timer, on_step_timer, 0., 0.);
+	r->limit.data = r->step_timer.data = r;
+	return r;
+}
+
+/* Sets when the request is given up: its caller's deadline or the route's. */
+static void set_limit(struct run *r)
+{
+	int64_t after_us = LIMIT_MAX_US;
+
+	if (r->call.deadline_ms && r->call.deadline_ms * 1000LL < after_us)
+		after_us = r->call.deadline_ms * 1000LL;
+	if (r->route->timeout_ms && r->route->timeout_ms * 1000LL < after_us)
+		after_us = r->route->timeout_ms * 1000LL;
+	r->limit_us = r->read_us + after_us;
+	ev_timer_set(&r->limit, (double)(after_us + LIMIT_MARGIN_US) / 1e6, 0.);
+	ev_timer_start(r->g->loop, &r->limit);
+}
+
+static void start(struct gateway *g, struct h1_conn *c,
+		  const struct call_head *call,
+		  const struct directory_route *route,
+		  const struct directory_account *account)
+{
+	const char *service = directory_split(route, gateway_random(g));
+	struct run *r = run_new(g, c, call);
+
+	if (!r) {
+		turn_away(g, c, call->id, 503, STATS_refused_full,
+			  "Retry-After: 1\r\n", "out of memory");
+		return;
+	}
+	r->route = route;
+	r->account = account;
+	r->service = service ? directory_service(r->directory, service) : NULL;
+	set_limit(r);
+	if (!r->service) {
+		run_refuse(r, "the route's service is not declared");
+		return;
+	}
+	share_budget_earn(&g->budgets, r->service->name, g->fleet.hosts,
+			  r->read_us);
+	run_advance(r);
+}
+
+/* A caller's whole request is here. */
+void run_request(void *ctx, struct h1_conn *c)
+{
+	struct gateway *g = ctx;
+	const struct directory_account *account = NULL;
+	const struct directory_route *route;
+	const char *why = "";
+	struct call_head call;
+
+	stats_add(&g->stats, STATS_requests, 1);
+	if (adapter_read_call(&c->request.head, &call, &why) < 0) {
+		turn_away(g, c, call.id, 400, STATS_rejected, NULL, why);
+		return;
+	}
+	if (!g->directory) {
+		turn_away(g, c, call.id, 503, STATS_refused_full,
+			  "Retry-After: 0.5\r\n", "no configuration yet");
+		return;
+	}
+	route = directory_route(g->directory, call.host, call.path);
+	if (!route) {
+		turn_away(g, c, call.id, 404, STATS_refused_unknown, NULL,
+			  "no route");
+		return;
+	}
+	if (g->directory->n_accounts)
+		account = directory_account(g->directory, call.key);
+	if (g->directory->n_accounts && !account && !route->anonymous) {
+		turn_away(g, c, call.id, 401, STATS_refused_unknown, NULL,
+			  "unknown key");
+		return;
+	}
+	if (within_limit(g, c, &call, account))
+		start(g, c, &call, route, account);
+}
+
+/* The caller left: everything that runs for it ends. */
+void run_caller_gone(void *ctx, struct h1_conn *c)
+{
+	struct gateway *g = ctx;
+	struct run *r = c->call;
+
+	if (!r)
+		return;
+	stats_add(&g->stats, STATS_callers_gone, 1);
+	log_end(r, "caller_gone", r->status, "");
+	run_free(r);
+}
--- a/cmd/figbend/main.c
+++ b/cmd/figbend/main.c
@@ -3,9 +3,12 @@
 #include <signal.h>
 #include <sodium.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "daemon.h"
+#include "gateway.h"
 #include "logline.h"
 
 #define EXIT_OK 0
@@ -15,6 +18,7 @@
 struct options {
 	struct arg_lit *help;
 	struct arg_lit *check;
+	struct arg_lit *pools;
 	struct arg_file *settings;
 	struct arg_end *end;
 };
@@ -85,10 +89,61 @@
 	return EXIT_OK;
 }
 
+/* Where the settings of a host before a platform's pools are, by default. */
+#define SETTINGS_VARIABLE "FIGBEND_SETTINGS"
+
+/* Serves a platform's pools until it is told to stop. */
+static int run_pools(const struct options *o)
+{
+	const char *path = o->settings->count ? o->settings->filename[0]
+					      : getenv(SETTINGS_VARIABLE);
+	static struct gateway g;
+	static struct setup s;
+	struct jread_faults faults;
+	int r;
+
+	if (!path) {
+		fprintf(stderr,
+			"figbend: no settings file, and %s is not set\n",
+			SETTINGS_VARIABLE);
+		return EXIT_USAGE;
+	}
+	jread_faults_init(&faults);
+	r = setup_load(&s, path, &faults);
+	print_faults(&faults);
+	jread_faults_finish(&faults);
+	if (r < 0)
+		return EXIT_USAGE;
+	if (o->check->count) {
+		printf("%s: ok\n", path);
+		return EXIT_OK;
+	}
+	signal(SIGPIPE, SIG_IGN);
+	logline_init("figbend", LOG_INFO);
+	logline_buffer(STDOUT_FILENO);
+	if (sodium_init() < 0 || gateway_init(&g, &s) < 0) {
+		logline_flush();
+		return EXIT_FAILURE_AT_RUN;
+	}
+	logline(LOG_NOTICE, "started", "host=%s domain=%s callers=%s store=%s",
+		s.host, s.domain, s.callers_addr, s.store_addr);
+	ev_run(g.loop, 0);
+	logline(LOG_NOTICE, "stopped", "host=%s", s.host);
+	gateway_finish(&g);
+	return EXIT_OK;
+}
+
 static int run_options(const struct options *o)
 {
 	static struct settings s;
 
+	if (o->pools->count)
+		return run_pools(o);
+	if (!o->settings->count) {
+		fprintf(stderr, "figbend: no settings file is named\n");
+		return EXIT_USAGE;
+	}
+
 	if (load(&s, o->settings->filename[0]) < 0)
 		return EXIT_USAGE;
 	logline_init("figbend", priority_of(s.log_level));
@@ -104,11 +159,14 @@
 	struct options o = {
 		.help = arg_lit0("h", "help", "print this and exit"),
 		.check = arg_lit0(NULL, "check", "check the settings and exit"),
-		.settings = arg_file1(NULL, NULL, "SETTINGS",
+		.pools = arg_lit0(NULL, "pools",
+				  "serve a platform's pools; SETTINGS is "
+				  "$FIGBEND_SETTINGS if not named"),
+		.settings = arg_file0(NULL, NULL, "SETTINGS",
 				      "settings file, JSON with comments"),
 		.end = arg_end(8),
 	};
-	void *table[] = {o.help, o.check, o.settings, o.end};
+	void *table[] = {o.help, o.check, o.pools, o.settings, o.end};
 	int errors = arg_parse(argc, argv, table);
 	int r = EXIT_USAGE;
 
--- /dev/null
+++ b/pkg/call/call.h
@@ -0,0 +1,84 @@
+#ifndef FIGBEND_CALL_H
+#define FIGBEND_CALL_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * A caller's request as the rest of the system sees it, whatever protocol it
+ * came in: who asks, for how long, and how large the prompt is. The method, the
+ * path, the body and other headers are passed through and not looked at.
+ */
+
+#define CALL_ID_BYTES 64
+#define CALL_NAME_BYTES 64
+#define CALL_KEY_BYTES 96
+#define CALL_PARTS_MAX 32
+
+enum call_kind {
+	CALL_REPEATABLE, /* may run more than once */
+	CALL_ONCE,	 /* may run once at most */
+	CALL_STREAM, /* a stream of events; once, unless it can be resumed */
+};
+
+/* A part of a prompt; equal parts in front are shared between prompts. */
+struct call_part {
+	uint64_t id_hash;
+	uint32_t tokens;
+};
+
+struct call_prompt {
+	bool present;
+	char model[CALL_NAME_BYTES];
+	uint32_t prompt_tokens;
+	uint32_t output_max_tokens;
+	uint32_t output_likely_tokens; /* the caller's estimate; 0: none */
+	struct call_part part[CALL_PARTS_MAX];
+	uint32_t n_parts;
+};
+
+/* What the head of a request says. Strings are copies. */
+struct call_head {
+	char id[CALL_ID_BYTES];
+	char key[CALL_KEY_BYTES];
+	char host[256];
+	char path[1024];      /* without the query */
+	uint32_t deadline_ms; /* 0: not said */
+	int64_t resume_after; /* the last event the caller has; -1: none */
+	struct call_prompt prompt;
+};
+
+/* What kind of send to an endpoint a request makes. */
+enum call_phase {
+	CALL_WHOLE,    /* the endpoint does all of it */
+	CALL_PREFILL,  /* the endpoint reads the prompt and keeps the result */
+	CALL_TRANSFER, /* the endpoint takes a prefill's result and goes on */
+};
+
+/* How the request goes to an endpoint. */
+struct call_send {
+	enum call_phase phase;
+	const char *endpoint_id;
+	const char *account;	 /* NULL: none */
+	uint32_t deadline_ms;	 /* what is left; 0: none */
+	int priority;		 /* 0 first .. 9; -1: not said */
+	const char *source_addr; /* of the prefill's result */
+	const char *source_handle;
+	const char *hold;     /* memory reserved before, or NULL */
+	int64_t resume_after; /* event to go on after; -1: from the start */
+};
+
+/* What an endpoint's answer says besides its status and body. */
+struct call_answer {
+	const char *id;	       /* the request that it answers, or NULL */
+	const char *signature; /* NULL: not the endpoint's own answer */
+	bool not_run;	       /* the endpoint's word that it ran nothing */
+	bool encoded;	       /* something on the way changed the body */
+	bool has_load;
+	uint32_t running;
+	uint32_t waiting;
+	uint32_t slots;
+	uint32_t cold_ms;
+};
+
+#endif
--- /dev/null
+++ b/pkg/directory/directory.c
@@ -0,0 +1,137 @@
+#include "directory.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+/*
+ * Returns an empty directory with room for so many rows of each kind and one
+ * reference, or NULL if there is no memory.
+ */
+struct directory *directory_new(uint32_t routes, uint32_t services,
+				uint32_t accounts, uint32_t keys)
+{
+	struct directory *d = calloc(1, sizeof(*d));
+
+	if (!d)
+		return NULL;
+	d->refs = 1;
+	d->n_routes = routes;
+	d->n_services = services;
+	d->n_accounts = accounts;
+	d->n_keys = keys;
+	d->route = calloc(routes + 1, sizeof(*d->route));
+	d->service = calloc(services + 1, sizeof(*d->service));
+	d->account = calloc(accounts + 1, sizeof(*d->account));
+	d->key = calloc(keys + 1, sizeof(*d->key));
+	if (!d->route || !d->service || !d->account || !d->key) {
+		directory_unref(d);
+		return NULL;
+	}
+	return d;
+}
+
+/* Takes a reference. */
+struct directory *directory_ref(struct directory *d)
+{
+	d->refs++;
+	return d;
+}
+
+/* Gives a reference back; the last one frees the directory. */
+void directory_unref(struct directory *d)
+{
+	if (!d || --d->refs)
+		return;
+	free(d->route);
+	free(d->service);
+	free(d->account);
+	free(d->key);
+	free(d);
+}
+
+static int compare_keys(const void *a, const void *b)
+{
+	const struct directory_key *x = a, *y = b;
+
+	return strcmp(x->key, y->key);
+}
+
+/* See directory.h. */
+void directory_seal(struct directory *d)
+{
+	qsort(d->key, d->n_keys, sizeof(*d->key), compare_keys);
+}
+
+/* Compares a host with a Host header, which may name a port. */
+static bool same_host(const char *host, const char *header)
+{
+	size_t n = strlen(host);
+
+	return strncasecmp(host, header, n) == 0 &&
+	       (header[n] == '\0' || header[n] == ':');
+}
+
+/*
+ * Returns the route of the host with the longest prefix that begins the path,
+ * or NULL.
+ */
+const struct directory_route *
+directory_route(const struct directory *d, const char *host, const char *path)
+{
+	const struct directory_route *best = NULL;
+	size_t best_n = 0, n;
+	uint32_t i;
+
+	for (i = 0; i < d->n_routes; i++) {
+		n = strlen(d->route[i].prefix);
+		if (n <= best_n || strncmp(path, d->route[i].prefix, n) != 0 ||
+		    !same_host(d->route[i].host, host))
+			continue;
+		best = &d->route[i];
+		best_n = n;
+	}
+	return best;
+}
+
+/* Returns the account that holds the key, or NULL. */
+const struct directory_account *directory_account(const struct directory *d,
+						  const char *key)
+{
+	struct directory_key wanted = {.account = 0};
+	const struct directory_key *k;
+
+	if (!*key || strlen(key) >= sizeof(wanted.key))
+		return NULL;
+	strcpy(wanted.key, key);
+	k = bsearch(&wanted, d->key, d->n_keys, sizeof(*k), compare_keys);
+	return k ? &d->account[k->account] : NULL;
+}
+
+/* Returns the service of the name, or NULL. */
+const struct directory_service *directory_service(const struct directory *d,
+						  const char *name)
+{
+	uint32_t i;
+
+	for (i = 0; i < d->n_services; i++)
+		if (strcmp(d->service[i].name, name) == 0)
+			return &d->service[i];
+	return NULL;
+}
+
+/* See directory.h. Returns NULL if no service has a weight. */
+const char *directory_split(const struct directory_route *r, uint64_t draw)
+{
+	uint64_t sum = 0;
+	uint32_t i;
+
+	for (i = 0; i < r->n_split; i++)
+		sum += r->split[i].weight;
+	if (!sum)
+		return NULL;
+	draw %= sum;
+	for (i = 0; i + 1 < r->n_split && draw >= r->split[i].weight; i++)
+		draw -= r->split[i].weight;
+	return r->split[i].service;
+}
--- /dev/null
+++ b/pkg/h1/buf.c
@@ -0,0 +1,91 @@
+#include "h1.h"
+
+#include <errno.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define FIRST_BYTES 512
+
+/* Frees the bytes. */
+void h1_buf_finish(struct h1_buf *b)
+{
+	free(b->p);
+	memset(b, 0, sizeof(*b));
+}
+
+/* Makes room for n bytes more at the end. Returns 0 or -ENOMEM. */
+static int reserve(struct h1_buf *b, size_t n)
+{
+	size_t capacity = b->capacity ? b->capacity : FIRST_BYTES;
+	char *p;
+
+	if (b->end + n <= b->capacity)
+		return 0;
+	if (b->start) {
+		memmove(b->p, b->p + b->start, b->end - b->start);
+		b->end -= b->start;
+		b->start = 0;
+	}
+	while (b->end + n > capacity)
+		capacity *= 2;
+	if (capacity == b->capacity)
+		return 0;
+	p = realloc(b->p, capacity);
+	if (!p)
+		return -ENOMEM;
+	b->p = p;
+	b->capacity = capacity;
+	return 0;
+}
+
+/* Adds n bytes at the end. Returns 0 or -ENOMEM. */
+int h1_buf_add(struct h1_buf *b, const void *p, size_t n)
+{
+	if (!n)
+		return 0;
+	if (reserve(b, n) < 0)
+		return -ENOMEM;
+	memcpy(b->p + b->end, p, n);
+	b->end += n;
+	return 0;
+}
+
+/* Adds formatted text. Returns 0 or -ENOMEM. */
+int h1_buf_printf(struct h1_buf *b, const char *format, ...)
+{
+	va_list ap;
+	int n;
+
+	va_start(ap, format);
+	n = vsnprintf(NULL, 0, format, ap);
+	va_end(ap);
+	if (n < 0 || reserve(b, (size_t)n + 1) < 0)
+		return -ENOMEM;
+	va_start(ap, format);
+	vsnprintf(b->p + b->end, (size_t)n + 1, format, ap);
+	va_end(ap);
+	b->end += (size_t)n;
+	return 0;
+}
+
+/* Takes n bytes from the front. */
+void h1_buf_take(struct h1_buf *b, size_t n)
+{
+	b->start += n;
+	if (b->start >= b->end)
+		b->start = b->end = 0;
+}
+
+/* Returns how many bytes there are. */
+size_t h1_buf_bytes(const struct h1_buf *b)
+{
+	return b->end - b->start;
+}
+
+/* Returns the first byte; valid until the next change. */
+const char *h1_buf_data(const struct h1_buf *b)
+{
+	return b->p ? b->p + b->start : "";
+}
--- /dev/null
+++ b/pkg/h1/head.c
@@ -0,0 +1,327 @@
+#include "h1.h"
+
+#include <ctype.h>
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+/* A length has at most 15 digits, so that it cannot overflow. */
+#define LENGTH_DIGITS_MAX 15
+
+/* Returns the size of a head with its blank line, or 0 if it is not whole. */
+size_t h1_head_end(const char *p, size_t n)
+{
+	const char *end = memmem(p, n, "\r\n\r\n", 4);
+
+	return end ? (size_t)(end - p) + 4 : 0;
+}
+
+/* Tells whether c may stand in a method or a field's name (RFC 9110, 5.6.2). */
+static bool is_token(char c)
+{
+	return isalnum((unsigned char)c) ||
+	       (c && strchr("!#$%&'*+-.^_`|~", c) != NULL);
+}
+
+static bool all_token(const char *s)
+{
+	if (!*s)
+		return false;
+	for (; *s; s++)
+		if (!is_token(*s))
+			return false;
+	return true;
+}
+
+/*
+ * Checks that every line ends with CRLF and no other control byte but a tab is
+ * there.
+ */
+static int check_bytes(const char *p, size_t n)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		if (p[i] == '\r') {
+			if (i + 1 >= n || p[i + 1] != '\n')
+				return -EBADMSG;
+			i++;
+		} else if (((unsigned char)p[i] < ' ' && p[i] != '\t') ||
+			   p[i] == 0x7f) {
+			return -EBADMSG;
+		}
+	}
+	return 0;
+}
+
+/* Cuts the next line off the text, which ends with an empty line. */
+static char *next_line(char **at)
+{
+	char *line = *at;
+	char *end = strstr(line, "\r\n");
+
+	*end = '\0';
+	*at = end + 2;
+	return line;
+}
+
+static char *trim(char *s)
+{
+	size_t n;
+
+	while (*s == ' ' || *s == '\t')
+		s++;
+	n = strlen(s);
+	while (n && (s[n - 1] == ' ' || s[n - 1] == '\t'))
+		s[--n] = '\0';
+	return s;
+}
+
+static int parse_fields(struct h1_head *h, char *at)
+{
+	char *line, *colon;
+
+	for (line = next_line(&at); *line; line = next_line(&at)) {
+		colon = strchr(line, ':');
+		if (!colon)
+			return -EBADMSG;
+		if (h->n_fields == H1_FIELDS_MAX)
+			return -E2BIG;
+		*colon = '\0';
+		if (!all_token(line))
+			return -EBADMSG;
+		h->field[h->n_fields].name = line;
+		h->field[h->n_fields++].value = trim(colon + 1);
+	}
+	return 0;
+}
+
+/* Returns the value of the field, or NULL. The first one counts. */
+const char *h1_field(const struct h1_head *h, const char *name)
+{
+	uint32_t i;
+
+	for (i = 0; i < h->n_fields; i++)
+		if (strcasecmp(h->field[i].name, name) == 0)
+			return h->field[i].value;
+	return NULL;
+}
+
+static uint32_t count_fields(const struct h1_head *h, const char *name)
+{
+	uint32_t i, n = 0;
+
+	for (i = 0; i < h->n_fields; i++)
+		n += strcasecmp(h->field[i].name, name) == 0;
+	return n;
+}
+
+/* Tells whether a comma-separated list has the word, in any case. */
+static bool list_has(const char *list, const char *word)
+{
+	size_t n = strlen(word);
+	const char *p = list;
+
+	while (p && *p) {
+		while (*p == ' ' || *p == '\t' || *p == ',')
+			p++;
+		if (strncasecmp(p, word, n) == 0 &&
+		    (!p[n] || strchr(" \t,;", p[n])))
+			return true;
+		p = strchr(p, ',');
+	}
+	return false;
+}
+
+static bool connection_has(const struct h1_head *h, const char *word)
+{
+	uint32_t i;
+
+	for (i = 0; i < h->n_fields; i++)
+		if (strcasecmp(h->field[i].name, "Connection") == 0 &&
+		    list_has(h->field[i].value, word))
+			return true;
+	return false;
+}
+
+/* Reads a length of digits alone. Returns 0 or -EBADMSG. */
+static int parse_length(const char *s, uint64_t *out)
+{
+	size_t n = strspn(s, "0123456789");
+
+	if (!n || s[n] || n > LENGTH_DIGITS_MAX)
+		return -EBADMSG;
+	*out = strtoull(s, NULL, 10);
+	return 0;
+}
+
+/*
+ * Finds how the body is framed: one length, or chunked alone. Both, or two of
+ * either, is how requests are smuggled.
+ */
+static int find_framing(struct h1_head *h, enum h1_framing fallback)
+{
+	uint32_t lengths = count_fields(h, "Content-Length");
+	uint32_t codings = count_fields(h, "Transfer-Encoding");
+
+	h->framing = fallback;
+	if (lengths + codings > 1)
+		return -EBADMSG;
+	if (codings) {
+		if (h->minor == 0)
+			return -EBADMSG;
+		if (strcasecmp(h1_field(h, "Transfer-Encoding"), "chunked"))
+			return -ENOTSUP;
+		h->framing = H1_CHUNKED;
+	} else if (lengths) {
+		h->framing = H1_LENGTH;
+		return parse_length(h1_field(h, "Content-Length"),
+				    &h->length_bytes);
+	}
+	return 0;
+}
+
+static void find_persistence(struct h1_head *h)
+{
+	const char *keep = h1_field(h, "Keep-Alive");
+	const char *timeout = keep ? strcasestr(keep, "timeout=") : NULL;
+
+	h->close = connection_has(h, "close") ||
+		   (h->minor == 0 && !connection_has(h, "keep-alive"));
+	if (timeout)
+		h->keep_alive_s = (uint32_t)strtoul(
+			timeout + strlen("timeout="), NULL, 10);
+}
+
+/* Reads "HTTP/1.x" at the start of s. Returns 0 or -EBADMSG. */
+static int parse_version(struct h1_head *h, const char *s)
+{
+	if (strncmp(s, "HTTP/1.", 7) || (s[7] != '0' && s[7] != '1'))
+		return -EBADMSG;
+	h->minor = (uint8_t)(s[7] - '0');
+	return 0;
+}
+
+static int parse_request_line(struct h1_head *h, char *line)
+{
+	char *target = strchr(line, ' ');
+	char *version = target ? strchr(target + 1, ' ') : NULL;
+	const char *p;
+
+	if (!version)
+		return -EBADMSG;
+	*target++ = '\0';
+	*version++ = '\0';
+	for (p = target; *p; p++)
+		if ((unsigned char)*p <= ' ' || (unsigned char)*p >= 0x7f)
+			return -EBADMSG;
+	if (!all_token(line) || *target != '/' || strlen(version) != 8)
+		return -EBADMSG;
+	h->method = line;
+	h->target = target;
+	return parse_version(h, version);
+}
+
+static int copy_text(struct h1_head *h, const char *p, size_t n)
+{
+	memset(h, 0, sizeof(*h));
+	if (check_bytes(p, n) < 0)
+		return -EBADMSG;
+	h->text = malloc(n + 1);
+	if (!h->text)
+		return -ENOMEM;
+	memcpy(h->text, p, n);
+	h->text[n] = '\0';
+	return 0;
+}
+
+/*
+ * Parses a request's head of n bytes, its blank line among them. On success the
+ * caller gives h to h1_head_finish(). Returns 0, -EBADMSG, -ENOTSUP for a
+ * transfer coding other than chunked, -E2BIG for too many fields, or -ENOMEM.
+ */
+int h1_parse_request(struct h1_head *h, const char *p, size_t n)
+{
+	char *at;
+	int r = copy_text(h, p, n);
+
+	if (r < 0)
+		return r;
+	at = h->text;
+	r = parse_request_line(h, next_line(&at));
+	if (r == 0)
+		r = parse_fields(h, at);
+	if (r == 0 && (count_fields(h, "Host") > 1 ||
+		       (h->minor == 1 && !h1_field(h, "Host"))))
+		r = -EBADMSG;
+	if (r == 0)
+		r = find_framing(h, H1_NO_BODY);
+	if (r < 0) {
+		h1_head_finish(h);
+		return r;
+	}
+	find_persistence(h);
+	return 0;
+}
+
+static int parse_status_line(struct h1_head *h, const char *line)
+{
+	if (strlen(line) < 12 || parse_version(h, line) < 0 || line[8] != ' ')
+		return -EBADMSG;
+	if (strspn(line + 9, "0123456789") != 3 ||
+	    (line[12] && line[12] != ' '))
+		return -EBADMSG;
+	h->status = (uint16_t)strtoul(line + 9, NULL, 10);
+	return h->status < 100 || h->status > 599 ? -EBADMSG : 0;
+}
+
+/*
+ * Parses an answer's head of n bytes, as h1_parse_request() does. The request
+ * was none of method HEAD.
+ */
+int h1_parse_answer(struct h1_head *h, const char *p, size_t n)
+{
+	char *at;
+	int r = copy_text(h, p, n);
+
+	if (r < 0)
+		return r;
+	at = h->text;
+	r = parse_status_line(h, next_line(&at));
+	if (r == 0)
+		r = parse_fields(h, at);
+	if (r == 0)
+		r = find_framing(h, H1_UNTIL_CLOSE);
+	if (r < 0) {
+		h1_head_finish(h);
+		return r;
+	}
+	if (h->status < 200 || h->status == 204 || h->status == 304)
+		h->framing = H1_NO_BODY;
+	find_persistence(h);
+	return 0;
+}
+
+/* Frees the text of the head. */
+void h1_head_finish(struct h1_head *h)
+{
+	free(h->text);
+	memset(h, 0, sizeof(*h));
+}
+
+/* Tells whether a field concerns only the connection it came on. */
+bool h1_hop_by_hop(const struct h1_head *h, const char *name)
+{
+	static const char *const names[] = {
+		"Connection",	     "Keep-Alive", "Proxy-Connection",
+		"Transfer-Encoding", "TE",	   "Trailer",
+		"Upgrade",	     "Expect",	   "Content-Length",
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(names) / sizeof(names[0]); i++)
+		if (strcasecmp(name, names[i]) == 0)
+			return true;
+	return connection_has(h, name);
+}
--- /dev/null
+++ b/pkg/h1/server.c
@@ -0,0 +1,493 @@
+#include "h1.h"
+
+#include <errno.h>
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define BACKLOG 1024
+#define READ_BYTES 16384
+/* Of requests sent ahead while one is being answered. */
+#define AHEAD_MAX_BYTES 65536
+/* How long a closed connection waits for the caller's own close, so that its
+ * unread bytes do not reset the answer away. */
+#define LINGER_S 1.0
+#define ACCEPTS_A_TURN 64
+
+struct reason {
+	uint16_t status;
+	const char *text;
+};
+
+static const struct reason reasons[] = {
+	{100, "Continue"},
+	{200, "OK"},
+	{400, "Bad Request"},
+	{401, "Unauthorized"},
+	{404, "Not Found"},
+	{408, "Request Timeout"},
+	{413, "Content Too Large"},
+	{429, "Too Many Requests"},
+	{431, "Request Header Fields Too Large"},
+	{500, "Internal Server Error"},
+	{501, "Not Implemented"},
+	{502, "Bad Gateway"},
+	{503, "Service Unavailable"},
+	{504, "Gateway Timeout"},
+};
+
+/* Returns the usual words for a status. */
+const char *h1_reason(uint16_t status)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(reasons) / sizeof(reasons[0]); i++)
+		if (reasons[i].status == status)
+			return reasons[i].text;
+	return "Status";
+}
+
+static size_t request_bytes(const struct h1_conn *c)
+{
+	return h1_buf_bytes(&c->in) + h1_buf_bytes(&c->request.body);
+}
+
+/* Brings the server's sum of request bytes up to date. */
+static void count_bytes(struct h1_conn *c)
+{
+	c->server->buffered_bytes += request_bytes(c) - c->counted_bytes;
+	c->counted_bytes = request_bytes(c);
+}
+
+static void request_finish(struct h1_conn *c)
+{
+	h1_head_finish(&c->request.head);
+	h1_buf_finish(&c->request.body);
+	c->in_body = false;
+}
+
+static void conn_free(struct h1_conn *c)
+{
+	struct h1_server *s = c->server;
+
+	ev_io_stop(s->loop, &c->reader);
+	ev_io_stop(s->loop, &c->writer);
+	ev_timer_stop(s->loop, &c->timer);
+	close(c->fd);
+	request_finish(c);
+	h1_buf_finish(&c->in);
+	h1_buf_finish(&c->out);
+	count_bytes(c);
+	TAILQ_REMOVE(&s->conns, c, entry);
+	s->conns_n--;
+	free(c);
+}
+
+/* Ends a connection that the caller closed or that broke. */
+static void conn_lost(struct h1_conn *c)
+{
+	if (c->state == H1_ANSWERING && !c->closing)
+		c->server->handlers->gone(c->server->ctx, c);
+	conn_free(c);
+}
+
+static void timer_restart(struct h1_conn *c, double after_s)
+{
+	ev_timer_stop(c->server->loop, &c->timer);
+	ev_timer_set(&c->timer, after_s, 0.);
+	ev_timer_start(c->server->loop, &c->timer);
+}
+
+/* Has the loop free the connection, as callers of a writer may still use it. */
+static void break_later(struct h1_conn *c)
+{
+	c->broken = true;
+	ev_io_stop(c->server->loop, &c->writer);
+	timer_restart(c, 0.);
+}
+
+static void linger(struct h1_conn *c)
+{
+	c->lingering = true;
+	ev_io_stop(c->server->loop, &c->writer);
+	shutdown(c->fd, SHUT_WR);
+	timer_restart(c, LINGER_S);
+}
+
+/* Writes what can be written now. */
+static void flush(struct h1_conn *c)
+{
+	ssize_t n;
+
+	while (!c->broken && h1_buf_bytes(&c->out)) {
+		n = send(c->fd, h1_buf_data(&c->out), h1_buf_bytes(&c->out),
+			 MSG_NOSIGNAL);
+		if (n < 0 && errno == EINTR)
+			continue;
+		if (n < 0 && errno == EAGAIN) {
+			ev_io_start(c->server->loop, &c->writer);
+			return;
+		}
+		if (n <= 0) {
+			break_later(c);
+			return;
+		}
+		h1_buf_take(&c->out, (size_t)n);
+	}
+	ev_io_stop(c->server->loop, &c->writer);
+	if (c->closing && !c->lingering && !c->broken)
+		linger(c);
+}
+
+/* The answer is written out; takes the next request if there may be one. */
+static void answered(struct h1_conn *c)
+{
+	c->call = NULL;
+	request_finish(c);
+	count_bytes(c);
+	c->closing = c->close_after;
+	c->state = H1_READING;
+	flush(c);
+	if (c->closing || c->broken)
+		return;
+	timer_restart(c, c->server->limits->idle_timeout_ms / 1000.);
+	ev_feed_event(c->server->loop, &c->reader, EV_CUSTOM);
+}
+
+static void put_head(struct h1_conn *c, uint16_t status, const char *fields)
+{
+	c->close_after = c->server->draining || c->close_after ||
+			 c->request.head.close;
+	h1_buf_printf(&c->out, "HTTP/1.1 %u %s\r\n%s%s", status,
+		      h1_reason(status), fields ? fields : "",
+		      c->close_after ? "Connection: close\r\n" : "");
+}
+
+static bool wants_body(const struct h1_conn *c)
+{
+	return !c->request.head.method ||
+	       strcmp(c->request.head.method, "HEAD") != 0;
+}
+
+/* See h1.h. */
+void h1_answer(struct h1_conn *c, uint16_t status, const char *fields,
+	       const void *body, size_t n)
+{
+	put_head(c, status, fields);
+	h1_buf_printf(&c->out, "Content-Length: %zu\r\n\r\n", n);
+	if (wants_body(c))
+		h1_buf_add(&c->out, body, n);
+	answered(c);
+}
+
+/* See h1.h. */
+void h1_stream_start(struct h1_conn *c, uint16_t status, const char *fields)
+{
+	c->answer_chunked = c->request.head.minor == 1;
+	if (!c->answer_chunked)
+		c->close_after = true;
+	put_head(c, status, fields);
+	h1_buf_printf(&c->out, "%s\r\n",
+		      c->answer_chunked ? "Transfer-Encoding: chunked\r\n"
+					: "");
+	flush(c);
+}
+
+/* Hands on a piece of the body. */
+void h1_stream_piece(struct h1_conn *c, const void *p, size_t n)
+{
+	if (!n || !wants_body(c))
+		return;
+	if (c->answer_chunked)
+		h1_buf_printf(&c->out, "%zx\r\n", n);
+	h1_buf_add(&c->out, p, n);
+	if (c->answer_chunked)
+		h1_buf_add(&c->out, "\r\n", 2);
+	flush(c);
+}
+
+/* Ends the body as complete. */
+void h1_stream_end(struct h1_conn *c)
+{
+	if (c->answer_chunked && wants_body(c))
+		h1_buf_add(&c->out, "0\r\n\r\n", 5);
+	answered(c);
+}
+
+/* See h1.h. An answer that ends with its connection is reset. */
+void h1_stream_cut(struct h1_conn *c)
+{
+	struct linger reset = {.l_onoff = 1, .l_linger = 0};
+
+	c->call = NULL;
+	if (!c->answer_chunked) {
+		setsockopt(c->fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+		c->closing = true;
+		break_later(c);
+		return;
+	}
+	c->close_after = true;
+	answered(c);
+}
+
+/* Refuses a request that cannot be read, and closes. */
+static void reject(struct h1_conn *c, uint16_t status, const char *reason)
+{
+	c->server->handlers->rejected(c->server->ctx, status, reason);
+	c->close_after = true;
+	h1_answer(c, status, status == 503 ? "Retry-After: 1\r\n" : NULL, NULL,
+		  0);
+}
+
+/* Takes the head off the input. Returns false if there is none yet. */
+static bool read_head(struct h1_conn *c)
+{
+	const struct h1_limits *l = c->server->limits;
+	size_t n;
+	int r;
+
+	while (h1_buf_bytes(&c->in) >= 2 &&
+	       memcmp(h1_buf_data(&c->in), "\r\n", 2) == 0)
+		h1_buf_take(&c->in, 2);
+	n = h1_head_end(h1_buf_data(&c->in), h1_buf_bytes(&c->in));
+	if (n > l->header_max_bytes ||
+	    (!n && h1_buf_bytes(&c->in) > l->header_max_bytes)) {
+		reject(c, 431, "head too large");
+		return false;
+	}
+	if (!n)
+		return false;
+	r = h1_parse_request(&c->request.head, h1_buf_data(&c->in), n);
+	if (r < 0) {
+		reject(c,
+		       r == -ENOTSUP ? 501
+		       : r == -E2BIG ? 431
+				     : 400,
+		       "head malformed");
+		return false;
+	}
+	h1_buf_take(&c->in, n);
+	h1_body_init(&c->body, &c->request.head);
+	c->in_body = true;
+	if (c->body.framing == H1_LENGTH &&
+	    c->body.left_bytes > l->body_max_bytes) {
+		reject(c, 413, "body too large");
+		return false;
+	}
+	if (h1_field(&c->request.head, "Expect") && !c->body.whole)
+		h1_buf_printf(&c->out, "HTTP/1.1 100 Continue\r\n\r\n");
+	return true;
+}
+
+/* Reads on in the body. Returns true once it is whole. */
+static bool read_body(struct h1_conn *c)
+{
+	size_t used;
+	int r;
+
+	r = h1_body_feed(&c->body, h1_buf_data(&c->in), h1_buf_bytes(&c->in),
+			 &used, &c->request.body);
+	h1_buf_take(&c->in, used);
+	if (r < 0) {
+		reject(c, 400, "body malformed");
+		return false;
+	}
+	if (h1_buf_bytes(&c->request.body) >
+	    c->server->limits->body_max_bytes) {
+		reject(c, 413, "body too large");
+		return false;
+	}
+	return c->body.whole;
+}
+
+/* Takes requests off the input as long as none waits for its answer. */
+static void process(struct h1_conn *c)
+{
+	bool was_in_body = c->in_body;
+
+	while (c->state == H1_READING && !c->closing && !c->broken) {
+		if (!c->in_body && !read_head(c))
+			break;
+		if (!read_body(c))
+			break;
+		c->state = H1_ANSWERING;
+		c->request.read_at = ev_now(c->server->loop);
+		ev_timer_stop(c->server->loop, &c->timer);
+		c->server->handlers->request(c->server->ctx, c);
+	}
+	if (c->closing || c->broken || c->state != H1_READING)
+		return;
+	flush(c);
+	if (c->in_body)
+		timer_restart(c, c->server->limits->idle_timeout_ms / 1000.);
+	else if (request_bytes(c) && (was_in_body || !c->head_started))
+		timer_restart(c, c->server->limits->header_timeout_ms / 1000.);
+	c->head_started = !c->in_body && request_bytes(c);
+}
+
+/* Reads what is there. Returns 0, or -EPIPE if the connection ended. */
+static int read_some(struct h1_conn *c)
+{
+	char p[READ_BYTES];
+	ssize_t n = recv(c->fd, p, sizeof(p), 0);
+
+	if (n < 0 && (errno == EAGAIN || errno == EINTR))
+		return 0;
+	if (n <= 0)
+		return -EPIPE;
+	if (c->closing)
+		return 0;
+	if (h1_buf_add(&c->in, p, (size_t)n) < 0)
+		return -EPIPE;
+	count_bytes(c);
+	return 0;
+}
+
+static void on_readable(struct ev_loop *loop, ev_io *w, int events)
+{
+	struct h1_conn *c = w->data;
+	struct h1_server *s = c->server;
+
+	if ((events & EV_READ) && read_some(c) < 0) {
+		conn_lost(c);
+		return;
+	}
+	if (c->state == H1_ANSWERING) {
+		if (h1_buf_bytes(&c->in) > AHEAD_MAX_BYTES)
+			ev_io_stop(loop, &c->reader);
+		return;
+	}
+	if (!ev_is_active(&c->reader) && !c->broken)
+		ev_io_start(loop, &c->reader);
+	if (s->buffered_bytes > s->buffered_max_bytes && c->in_body) {
+		reject(c, 503, "too many request bytes in memory");
+		return;
+	}
+	process(c);
+}
+
+static void on_writable(struct ev_loop *loop, ev_io *w, int events)
+{
+	flush(w->data);
+}
+
+/* A connection took too long, or was broken earlier. */
+static void on_timer(struct ev_loop *loop, ev_timer *w, int events)
+{
+	struct h1_conn *c = w->data;
+
+	if (c->broken || c->lingering) {
+		conn_lost(c);
+		return;
+	}
+	if (c->state == H1_READING && request_bytes(c)) {
+		reject(c, 408, "request took too long");
+		return;
+	}
+	c->closing = true;
+	flush(c);
+}
+
+static void conn_new(struct h1_server *s, int fd)
+{
+	struct h1_conn *c = calloc(1, sizeof(*c));
+	int on = 1;
+
+	if (!c) {
+		close(fd);
+		return;
+	}
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	c->server = s;
+	c->fd = fd;
+	ev_io_init(&c->reader, on_readable, fd, EV_READ);
+	ev_io_init(&c->writer, on_writable, fd, EV_WRITE);
+	ev_timer_init(&c->timer, on_timer, s->limits->idle_timeout_ms / 1000.,
+		      0.);
+	c->reader.data = c->writer.data = c->timer.data = c;
+	TAILQ_INSERT_TAIL(&s->conns, c, entry);
+	s->conns_n++;
+	ev_io_start(s->loop, &c->reader);
+	ev_timer_start(s->loop, &c->timer);
+}
+
+static void on_accept(struct ev_loop *loop, ev_io *w, int events)
+{
+	struct h1_server *s = w->data;
+	int i, fd;
+
+	for (i = 0; i < ACCEPTS_A_TURN; i++) {
+		fd = accept4(s->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+		if (fd < 0)
+			return;
+		if (s->conns_n >= s->conns_max) {
+			s->handlers->rejected(s->ctx, 0,
+					      "too many connections");
+			close(fd);
+			continue;
+		}
+		conn_new(s, fd);
+	}
+}
+
+/*
+ * Listens at addr. The limits are read anew at each use, so that they may
+ * change. Returns 0 or a negative error number.
+ */
+int h1_server_init(struct h1_server *s, struct ev_loop *loop,
+		   const struct sockaddr_in *addr, const struct h1_limits *l,
+		   const struct h1_server_handlers *h, void *ctx)
+{
+	int on = 1;
+
+	memset(s, 0, sizeof(*s));
+	TAILQ_INIT(&s->conns);
+	s->loop = loop;
+	s->limits = l;
+	s->handlers = h;
+	s->ctx = ctx;
+	s->conns_max = UINT32_MAX;
+	s->buffered_max_bytes = UINT64_MAX;
+	s->fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (s->fd < 0)
+		return -errno;
+	setsockopt(s->fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (bind(s->fd, (const struct sockaddr *)addr, sizeof(*addr)) < 0 ||
+	    listen(s->fd, BACKLOG) < 0) {
+		on = errno;
+		close(s->fd);
+		return -on;
+	}
+	ev_io_init(&s->acceptor, on_accept, s->fd, EV_READ);
+	s->acceptor.data = s;
+	ev_io_start(loop, &s->acceptor);
+	return 0;
+}
+
+/* Closes the listener and all connections; no handler is called. */
+void h1_server_finish(struct h1_server *s)
+{
+	ev_io_stop(s->loop, &s->acceptor);
+	close(s->fd);
+	while (!TAILQ_EMPTY(&s->conns))
+		conn_free(TAILQ_FIRST(&s->conns));
+}
+
+/* See h1.h. */
+void h1_server_close_idle(struct h1_server *s)
+{
+	struct h1_conn *c, *next;
+
+	for (c = TAILQ_FIRST(&s->conns); c; c = next) {
+		next = TAILQ_NEXT(c, entry);
+		if (c->state == H1_READING && !request_bytes(c) &&
+		    !c->in_body && !c->closing) {
+			c->closing = true;
+			flush(c);
+		}
+	}
+}
--- a/pkg/logline/logline.c
+++ b/pkg/logline/logline.c
@@ -1,5 +1,7 @@
 #include "logline.h"
 
+#include <limits.h>
+#include <poll.h>
 #include <stdarg.h>
 #include <stdbool.h>
 #include <stdio.h>
@@ -8,6 +10,8 @@
 #include <unistd.h>
 
 #define LINE_MAX_BYTES 1024
+/* Lines of some hundred requests, kept while their reader is slow. */
+#define BUFFER_BYTES 65536
 #define EVENT_SLOTS 64
 #define EVENT_LINES_PER_S 200
 
@@ -21,6 +25,9 @@
 static int priority_max = LOG_INFO;
 static struct event_rate rates[EVENT_SLOTS];
 static uint64_t suppressed;
+static int buffer_fd = -1;
+static char buffer[BUFFER_BYTES];
+static size_t buffered;
 
 /*
  * Sets the name that opens each line and the least urgent priority that is
@@ -68,6 +75,55 @@
 			*s = '?';
 }
 
+/* See logline.h. */
+void logline_buffer(int fd)
+{
+	buffer_fd = fd;
+}
+
+/*
+ * Writes kept lines as long as their reader takes them: a pipe that can be
+ * written to takes PIPE_BUF bytes without blocking.
+ */
+void logline_flush(void)
+{
+	struct pollfd p = {.fd = buffer_fd, .events = POLLOUT};
+	size_t done = 0, n;
+	ssize_t r;
+
+	if (buffer_fd < 0)
+		return;
+	while (done < buffered) {
+		if (poll(&p, 1, 0) <= 0 || !(p.revents & POLLOUT))
+			break;
+		n = buffered - done < PIPE_BUF ? buffered - done : PIPE_BUF;
+		r = write(buffer_fd, buffer + done, n);
+		if (r <= 0)
+			break;
+		done += (size_t)r;
+	}
+	memmove(buffer, buffer + done, buffered - done);
+	buffered -= done;
+}
+
+/* Writes a line, or keeps it. */
+static void put(const char *line)
+{
+	size_t n = strlen(line);
+
+	if (buffer_fd < 0) {
+		fprintf(stderr, "%s\n", line);
+		return;
+	}
+	if (buffered + n + 1 > sizeof(buffer)) {
+		suppressed++;
+		return;
+	}
+	memcpy(buffer + buffered, line, n);
+	buffer[buffered + n] = '\n';
+	buffered += n + 1;
+}
+
 /*
  * Writes one event. The format gives the pairs, as "account=%s tokens=%u".
  * Lines of an event beyond its rate are dropped and counted.
@@ -90,7 +146,7 @@
 	vsnprintf(line + n, sizeof(line) - n, format, ap);
 	va_end(ap);
 	keep_one_line(line);
-	fprintf(stderr, "%s\n", line);
+	put(line);
 }
 
 /* Returns how many lines were dropped because their event was over its rate. */
--- /dev/null
+++ b/pkg/record/record.c
@@ -0,0 +1,117 @@
+#include "record.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Frees all records. */
+void records_finish(struct records *r)
+{
+	uint32_t i;
+
+	for (i = 0; i < r->n; i++)
+		free(r->row[i].value);
+	free(r->row);
+	memset(r, 0, sizeof(*r));
+}
+
+static struct record *find(const struct records *r, const char *key)
+{
+	uint32_t i;
+
+	for (i = 0; i < r->n; i++)
+		if (strcmp(r->row[i].key, key) == 0)
+			return &r->row[i];
+	return NULL;
+}
+
+/* Returns the record of the key, also one that is gone, or NULL. */
+const struct record *records_find(const struct records *r, const char *key)
+{
+	return find(r, key);
+}
+
+static struct record *add(struct records *r, const char *key)
+{
+	uint32_t capacity = r->capacity ? 2 * r->capacity : 16;
+	struct record *row;
+
+	if (strlen(key) >= RECORD_KEY_BYTES)
+		return NULL;
+	if (r->n == r->capacity) {
+		row = realloc(r->row, capacity * sizeof(*row));
+		if (!row)
+			return NULL;
+		r->row = row;
+		r->capacity = capacity;
+	}
+	row = &r->row[r->n++];
+	memset(row, 0, sizeof(*row));
+	strcpy(row->key, key);
+	return row;
+}
+
+/* See record.h. */
+int records_put(struct records *r, const char *key, const char *value, size_t n,
+		uint64_t offset)
+{
+	struct record *row = find(r, key);
+	bool known = row != NULL;
+	char *copy = NULL;
+
+	if (row)
+		row->seen = true;
+	if (row && offset <= row->offset)
+		return 0;
+	if (value) {
+		copy = malloc(n + 1);
+		if (!copy)
+			return -ENOMEM;
+		memcpy(copy, value, n);
+		copy[n] = '\0';
+	}
+	if (!row)
+		row = add(r, key);
+	if (!row) {
+		free(copy);
+		return -ENOMEM;
+	}
+	row->seen = true;
+	free(row->value);
+	row->value = copy;
+	row->value_bytes = copy ? n : 0;
+	row->offset = offset;
+	return known || copy ? 1 : 0;
+}
+
+/* See record.h. */
+void records_snapshot_start(struct records *r)
+{
+	uint32_t i;
+
+	for (i = 0; i < r->n; i++)
+		r->row[i].seen = false;
+}
+
+/*
+ * The snapshot is over and shows the stream up to end. Keys that were held from
+ * before and did not come again are gone.
+ */
+void records_snapshot_end(struct records *r, uint64_t end, record_take gone,
+			  void *ctx)
+{
+	struct record *row;
+	uint32_t i;
+
+	for (i = 0; i < r->n; i++) {
+		row = &r->row[i];
+		if (row->seen || !row->value || row->offset >= end)
+			continue;
+		free(row->value);
+		row->value = NULL;
+		row->value_bytes = 0;
+		row->offset = end;
+		gone(ctx, row->key, NULL, 0, end);
+	}
+	r->upto = end;
+}
--- /dev/null
+++ b/pkg/setup/setup.c
@@ -0,0 +1,132 @@
+#include "setup.h"
+
+#include <errno.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "h1.h"
+#include "settings.h"
+
+enum row_type {
+	ROW_NAME,
+	ROW_ADDR,
+	ROW_COUNT, /* whole, uint32_t */
+	ROW_RATIO, /* double */
+};
+
+struct row {
+	const char *key;
+	enum row_type type;
+	size_t offset;
+	double min;
+	double max;
+};
+
+#define AT(field) offsetof(struct setup, field)
+
+static const struct row rows[] = {
+	{"host", ROW_NAME, AT(host), 0, 0},
+	{"domain", ROW_NAME, AT(domain), 0, 0},
+	{"region", ROW_NAME, AT(region), 0, 0},
+	{"callers_addr", ROW_ADDR, AT(callers_addr), 0, 0},
+	{"ready_addr", ROW_ADDR, AT(ready_addr), 0, 0},
+	{"metrics_addr", ROW_ADDR, AT(metrics_addr), 0, 0},
+	{"peer_addr", ROW_ADDR, AT(peer_addr), 0, 0},
+	{"store_addr", ROW_ADDR, AT(store_addr), 0, 0},
+	{"memory_mb", ROW_COUNT, AT(memory_mb), 32, 1e6},
+	{"descriptors", ROW_COUNT, AT(descriptors), 256, 1e7},
+	{"stop_s", ROW_RATIO, AT(stop_s), 0.5, 3600},
+	{"drain_ms", ROW_COUNT, AT(drain_ms), 100, 3.6e6},
+	{"config_ms", ROW_COUNT, AT(config_ms), 100, 3.6e6},
+	{"retry_ratio", ROW_RATIO, AT(retry_ratio), 0, 10},
+	{"retry_window_s", ROW_RATIO, AT(retry_window_s), 0.1, 3600},
+	{"retry_slack", ROW_RATIO, AT(retry_slack), 0, 1e6},
+	{"cold_over", ROW_RATIO, AT(cold_over), 1, 100},
+};
+
+static void read_addr(struct jread *root, const char *key, char *out)
+{
+	struct sockaddr_in addr;
+	struct jread at;
+
+	jread_string(root, key, out, SETUP_ADDR_BYTES);
+	if (*out && h1_addr(out, &addr) < 0 && jread_member(root, key, &at))
+		jread_fault(&at, "IP:PORT");
+}
+
+static void read_row(struct jread *root, const struct row *r, struct setup *s)
+{
+	char *out = (char *)s + r->offset;
+	struct jread at;
+	double v;
+
+	switch (r->type) {
+	case ROW_NAME:
+		jread_string(root, r->key, out, SETUP_NAME_BYTES);
+		return;
+	case ROW_ADDR:
+		read_addr(root, r->key, out);
+		return;
+	case ROW_COUNT:
+	case ROW_RATIO:
+		if (!jread_need(root, r->key, &at))
+			return;
+		v = jread_double_or(root, r->key, 0, r->min, r->max);
+		if (r->type == ROW_COUNT)
+			*(uint32_t *)out = (uint32_t)v;
+		else
+			*(double *)out = v;
+	}
+}
+
+/* The secret stands as 64 hexadecimal digits. */
+static void read_secret(struct jread *root, struct setup *s)
+{
+	char text[2 * SETUP_SECRET_BYTES + 1];
+	struct jread at;
+	size_t n = 0;
+
+	jread_string(root, "secret", text, sizeof(text));
+	sodium_hex2bin(s->secret, sizeof(s->secret), text, strlen(text), NULL,
+		       &n, NULL);
+	if (n != sizeof(s->secret) && jread_member(root, "secret", &at))
+		jread_fault_text(at.faults, at.path,
+				 "expected 64 hexadecimal digits");
+}
+
+/*
+ * Reads settings from JSON with comments. Unknown keys are ignored: the
+ * platform may add some. Returns 0, or -EINVAL with every fault listed.
+ */
+int setup_parse(struct setup *s, const char *text, size_t n, const char *name,
+		struct jread_faults *faults)
+{
+	struct jread root;
+	size_t i;
+
+	memset(s, 0, sizeof(*s));
+	if (jread_parse(text, n, name, faults, &root) < 0)
+		return -EINVAL;
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++)
+		read_row(&root, &rows[i], s);
+	read_secret(&root, s);
+	json_object_put(root.value);
+	return faults->n ? -EINVAL : 0;
+}
+
+/* Reads settings from a file; see setup_parse(). */
+int setup_load(struct setup *s, const char *path, struct jread_faults *faults)
+{
+	char *text;
+	size_t n;
+	int r = settings_read_file(path, &text, &n);
+
+	if (r < 0) {
+		jread_fault_text(faults, path, "%s", strerror(-r));
+		return r;
+	}
+	r = setup_parse(s, text, n, path, faults);
+	free(text);
+	return r;
+}
--- a/pkg/wire/fig_msg.x
+++ b/pkg/wire/fig_msg.x
@@ -21,7 +21,9 @@
 	FIG_BOOK = 7,
 	FIG_QUOTA_DRAW = 8,
 	FIG_ROOM = 9,
-	FIG_CRASH = 16
+	FIG_CRASH = 16,
+	FIG_SHARE = 17,
+	FIG_RECORDS_GET = 18
 };
 
 /* Once an interval to hosts of the domain, over UDP; no reply. */
@@ -167,6 +169,55 @@
 	unsigned hyper rate_tokens_s;
 };
 
+const FIG_SPENT_MAX = 1024;
+const FIG_LOADS_MAX = 1024;
+const FIG_TOPICS = 2;
+
+/* What a host let through for an account since its start, in the limit's unit. */
+struct fig_spent {
+	fig_name account;
+	unsigned hyper amount;
+};
+
+/* What a host has at an endpoint now. */
+struct fig_load {
+	fig_name endpoint;
+	unsigned int running;
+	unsigned int tokens;
+	unsigned int prompt_tokens;
+};
+
+/* Once an interval to all hosts, over UDP; no reply. */
+struct fig_share {
+	fig_name domain;
+	fig_name addr;
+	unsigned hyper upto[FIG_TOPICS]; /* records of the store that it holds */
+	unsigned int store_is_silent;
+	fig_spent spent<FIG_SPENT_MAX>;
+	fig_load load<FIG_LOADS_MAX>;
+};
+
+const FIG_RECORDS_MAX = 8192;
+
+/* Asks for the newest records of a stream that are newer than an offset. */
+struct fig_records_get {
+	unsigned int topic;
+	unsigned hyper from;
+};
+
+struct fig_record {
+	string key<255>;
+	opaque value<FIG_BODY_MAX>;
+	bool gone;
+	unsigned hyper offset;
+};
+
+struct fig_records_got {
+	unsigned int topic;
+	unsigned hyper upto;
+	fig_record record<FIG_RECORDS_MAX>;
+};
+
 union fig_call switch (fig_kind kind) {
 case FIG_HEARTBEAT:
 	fig_heartbeat heartbeat;
@@ -188,6 +239,10 @@
 	fig_quota_draw quota_draw;
 case FIG_ROOM:
 	fig_rooms room;
+case FIG_SHARE:
+	fig_share share;
+case FIG_RECORDS_GET:
+	fig_records_get records_get;
 };
 
 union fig_reply switch (fig_kind kind) {
@@ -211,6 +266,10 @@
 	fig_quota_grant quota_grant;
 case FIG_ROOM:
 	void;
+case FIG_SHARE:
+	void;
+case FIG_RECORDS_GET:
+	fig_records_got records_got;
 };
 
 /* What stands behind the RPC header: who sent it, and proof that it belongs. */
--- a/pkg/wire/gen/fig_msg.h
+++ b/pkg/wire/gen/fig_msg.h
@@ -30,6 +30,8 @@
 	FIG_QUOTA_DRAW = 8,
 	FIG_ROOM = 9,
 	FIG_CRASH = 16,
+	FIG_SHARE = 17,
+	FIG_RECORDS_GET = 18,
 };
 typedef enum fig_kind fig_kind;
 
@@ -197,6 +199,67 @@
 	u_quad_t rate_tokens_s;
 };
 typedef struct fig_quota_grant fig_quota_grant;
+#define FIG_SPENT_MAX 1024
+#define FIG_LOADS_MAX 1024
+#define FIG_TOPICS 2
+
+struct fig_spent {
+	fig_name account;
+	u_quad_t amount;
+};
+typedef struct fig_spent fig_spent;
+
+struct fig_load {
+	fig_name endpoint;
+	u_int running;
+	u_int tokens;
+	u_int prompt_tokens;
+};
+typedef struct fig_load fig_load;
+
+struct fig_share {
+	fig_name domain;
+	fig_name addr;
+	u_quad_t upto[FIG_TOPICS];
+	u_int store_is_silent;
+	struct {
+		u_int spent_len;
+		fig_spent *spent_val;
+	} spent;
+	struct {
+		u_int load_len;
+		fig_load *load_val;
+	} load;
+};
+typedef struct fig_share fig_share;
+#define FIG_RECORDS_MAX 8192
+
+struct fig_records_get {
+	u_int topic;
+	u_quad_t from;
+};
+typedef struct fig_records_get fig_records_get;
+
+struct fig_record {
+	char *key;
+	struct {
+		u_int value_len;
+		char *value_val;
+	} value;
+	bool_t gone;
+	u_quad_t offset;
+};
+typedef struct fig_record fig_record;
+
+struct fig_records_got {
+	u_int topic;
+	u_quad_t upto;
+	struct {
+		u_int record_len;
+		fig_record *record_val;
+	} record;
+};
+typedef struct fig_records_got fig_records_got;
 
 struct fig_call {
 	fig_kind kind;
@@ -211,6 +274,8 @@
 		fig_book book;
 		fig_quota_draw quota_draw;
 		fig_rooms room;
+		fig_share share;
+		fig_records_get records_get;
 	} fig_call_u;
 };
 typedef struct fig_call fig_call;
@@ -225,6 +290,7 @@
 		fig_rooms released;
 		fig_booked booked;
 		fig_quota_grant quota_grant;
+		fig_records_got records_got;
 	} fig_reply_u;
 };
 typedef struct fig_reply fig_reply;
@@ -284,6 +350,12 @@
 extern  bool_t xdr_fig_booked (XDR *, fig_booked*);
 extern  bool_t xdr_fig_quota_draw (XDR *, fig_quota_draw*);
 extern  bool_t xdr_fig_quota_grant (XDR *, fig_quota_grant*);
+extern  bool_t xdr_fig_spent (XDR *, fig_spent*);
+extern  bool_t xdr_fig_load (XDR *, fig_load*);
+extern  bool_t xdr_fig_share (XDR *, fig_share*);
+extern  bool_t xdr_fig_records_get (XDR *, fig_records_get*);
+extern  bool_t xdr_fig_record (XDR *, fig_record*);
+extern  bool_t xdr_fig_records_got (XDR *, fig_records_got*);
 extern  bool_t xdr_fig_call (XDR *, fig_call*);
 extern  bool_t xdr_fig_reply (XDR *, fig_reply*);
 extern  bool_t xdr_fig_sealed (XDR *, fig_sealed*);
@@ -311,6 +383,12 @@
 extern bool_t xdr_fig_booked ();
 extern bool_t xdr_fig_quota_draw ();
 extern bool_t xdr_fig_quota_grant ();
+extern bool_t xdr_fig_spent ();
+extern bool_t xdr_fig_load ();
+extern bool_t xdr_fig_share ();
+extern bool_t xdr_fig_records_get ();
+extern bool_t xdr_fig_record ();
+extern bool_t xdr_fig_records_got ();
 extern bool_t xdr_fig_call ();
 extern bool_t xdr_fig_reply ();
 extern bool_t xdr_fig_sealed ();
--- a/pkg/wire/gen/fig_msg_xdr.c
+++ b/pkg/wire/gen/fig_msg_xdr.c
@@ -422,6 +422,101 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fig_spent (XDR *xdrs, fig_spent *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_fig_name (xdrs, &objp->account))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->amount))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fig_load (XDR *xdrs, fig_load *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_fig_name (xdrs, &objp->endpoint))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->running))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->tokens))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->prompt_tokens))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fig_share (XDR *xdrs, fig_share *objp)
+{
+	register int32_t *buf;
+
+	int i;
+	 if (!xdr_fig_name (xdrs, &objp->domain))
+		 return FALSE;
+	 if (!xdr_fig_name (xdrs, &objp->addr))
+		 return FALSE;
+	 if (!xdr_vector (xdrs, (char *)objp->upto, FIG_TOPICS,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->store_is_silent))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->spent.spent_val, (u_int *) &objp->spent.spent_len, FIG_SPENT_MAX,
+		sizeof (fig_spent), (xdrproc_t) xdr_fig_spent))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->load.load_val, (u_int *) &objp->load.load_len, FIG_LOADS_MAX,
+		sizeof (fig_load), (xdrproc_t) xdr_fig_load))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fig_records_get (XDR *xdrs, fig_records_get *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->topic))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->from))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fig_record (XDR *xdrs, fig_record *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->key, 255))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->value.value_val, (u_int *) &objp->value.value_len, FIG_BODY_MAX))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->gone))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->offset))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fig_records_got (XDR *xdrs, fig_records_got *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->topic))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->upto))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->record.record_val, (u_int *) &objp->record.record_len, FIG_RECORDS_MAX,
+		sizeof (fig_record), (xdrproc_t) xdr_fig_record))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fig_call (XDR *xdrs, fig_call *objp)
 {
@@ -470,6 +565,14 @@
 		 if (!xdr_fig_rooms (xdrs, &objp->fig_call_u.room))
 			 return FALSE;
 		break;
+	case FIG_SHARE:
+		 if (!xdr_fig_share (xdrs, &objp->fig_call_u.share))
+			 return FALSE;
+		break;
+	case FIG_RECORDS_GET:
+		 if (!xdr_fig_records_get (xdrs, &objp->fig_call_u.records_get))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
@@ -518,6 +621,12 @@
 		break;
 	case FIG_ROOM:
 		break;
+	case FIG_SHARE:
+		break;
+	case FIG_RECORDS_GET:
+		 if (!xdr_fig_records_got (xdrs, &objp->fig_reply_u.records_got))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
