--- a/cmd/figbend/gateway/run.c
+++ b/cmd/figbend/gateway/run.c
@@ -35,6 +35,13 @@
 	return r->route->kind == CALL_STREAM && r->route->resumable;
 }
 
+/* Tells whether an endpoint has run the request, or may yet do so. */
+static bool may_have_run(const struct run *r)
+{
+	return r->ran || r->started ||
+	       (r->step == RUN_SENT && h1_exchange_sent(&r->exchange));
+}
+
 /* Leaves an endpoint out of later choices. */
 void run_tried(struct run *r, const struct fleet_endpoint *e)
 {
@@ -113,7 +120,7 @@
 {
 	char fields[64];
 
-	if (r->ran) {
+	if (may_have_run(r)) {
 		run_fail(r, 502, reason);
 		return;
 	}
@@ -177,7 +184,7 @@
 void run_advance(struct run *r)
 {
 	if (run_left_us(r) <= 0) {
-		if (r->ran)
+		if (may_have_run(r))
 			run_fail(r, 504, "out of time");
 		else
 			run_refuse(r, "out of time");
@@ -280,7 +287,7 @@
 {
 	struct run *r = w->data;
 
-	if (r->ran || r->started)
+	if (may_have_run(r))
 		run_fail(r, 504, "out of time");
 	else
 		run_refuse(r, "out of time");
