pools: late requests wait longer and leave memory to those in time

Cause: under a burst the queue served first come first, so that every request came late. Ruled out: endpoints with free memory (276 holds refused, all where the belief was near zero too). Change: a request whose first event can still be in time takes what is free; a late one leaves 15% of an endpoint's memory free and waits until shortly before its caller leaves.

--- a/cmd/figbend/gateway/pools.c
+++ b/cmd/figbend/gateway/pools.c
@@ -10,8 +10,17 @@
  * and streams. A decode endpoint can read the prompt itself, at half the speed.
  */
 
-/* A request that waits for room is refused when so many targets are over. */
-#define WAIT_TARGETS 2.0
+/* From room at an endpoint to the first event, on a day without trouble. */
+#define FIRST_EVENT_US 250000LL
+/* Callers leave a stream without events after the longest of two seconds, four
+ * targets and eight allowed pauses; a request waits until shortly before. */
+#define PATIENCE_MIN_US 2000000LL
+#define PATIENCE_TARGETS 4
+#define PATIENCE_GAPS 8
+#define PATIENCE_MARGIN_US 300000LL
+/* Memory that late requests leave free for those that can be in time, as a
+ * share of an endpoint's. */
+#define LATE_RESERVE 0.15
 /* A reservation answers from memory; longer means that the connection hangs. */
 #define HOLD_TIMEOUT_US 200000LL
 /* A reservation covers the prefill and the transfer. */
@@ -433,6 +442,27 @@
 		run_step_timer(r, GAP_DEAD_US);
 }
 
+/* How long a caller waits for the first event of its stream. */
+static int64_t patience_of(const struct run *r)
+{
+	int64_t target_us = r->route->target_ms * 1000LL * PATIENCE_TARGETS;
+	int64_t gap_us = r->route->target_gap_ms * 1000LL * PATIENCE_GAPS;
+	int64_t most = PATIENCE_MIN_US;
+
+	if (target_us > most)
+		most = target_us;
+	if (gap_us > most)
+		most = gap_us;
+	return most - PATIENCE_MARGIN_US;
+}
+
+/* Tells whether the first event can no longer be in time. */
+static bool is_late(const struct run *r, int64_t now_us)
+{
+	return !r->started && now_us - r->read_us + FIRST_EVENT_US >
+				      r->route->target_ms * 1000LL;
+}
+
 /* Finds a decode endpoint with room, or waits for one. */
 void pools_advance(struct run *r)
 {
@@ -451,12 +481,13 @@
 
 	if (want.tokens > want.total_tokens && want.total_tokens)
 		want.tokens = want.total_tokens;
+	if (is_late(r, now_us))
+		want.reserve_tokens =
+			(uint32_t)(LATE_RESERVE * want.total_tokens);
 	memcpy(want.not_on, r->tried, sizeof(want.not_on));
 	e = fleet_choose(&g->fleet, &want, now_us, &why);
 	if (!e) {
-		if (!r->started &&
-		    (double)(now_us - r->read_us) >
-			    WAIT_TARGETS * 1000. * r->route->target_ms)
+		if (!r->started && now_us - r->read_us > patience_of(r))
 			run_refuse(r, why == FLEET_ALL_FULL ? "no memory free"
 							    : "no endpoint");
 		else
--- a/pkg/fleet/choose.c
+++ b/pkg/fleet/choose.c
@@ -99,7 +99,8 @@
 	if (now_us < e->full_until_us || cold_full(f, w, e, now_us) ||
 	    e->report.busy)
 		return FLEET_ALL_FULL;
-	if (w->tokens && fleet_free_tokens(e, w->total_tokens) < w->tokens)
+	if (w->tokens && fleet_free_tokens(e, w->total_tokens) <
+				 (int64_t)w->tokens + w->reserve_tokens)
 		return FLEET_ALL_FULL;
 	return FLEET_FOUND;
 }
--- a/pkg/fleet/fleet.h
+++ b/pkg/fleet/fleet.h
@@ -114,7 +114,8 @@
 struct fleet_want {
 	const char *service;
 	enum fleet_stage stage;
-	uint32_t tokens; /* memory it will take; 0: none */
+	uint32_t tokens;	 /* memory it will take; 0: none */
+	uint32_t reserve_tokens; /* that it leaves to others */
 	uint32_t prompt_tokens;
 	uint32_t total_tokens; /* of an endpoint that has not reported yet */
 	double cold_per_s;
