--- a/cmd/figbend/gateway/follow.c
+++ b/cmd/figbend/gateway/follow.c
@@ -292,10 +292,10 @@
 static int take_records(struct follow *f)
 {
 	struct records *r = &f->g->records[f->topic];
-	uint64_t next = r->upto;
+	uint64_t next = f->from;
 	int error = adapter_read_records(h1_buf_data(&f->answer),
 					 h1_buf_bytes(&f->answer),
-					 take_from_store, f, r->upto, &next);
+					 take_from_store, f, f->from, &next);
 
 	if (error == 0 && next > r->upto)
 		r->upto = next;
@@ -382,8 +382,10 @@
 		adapter_write_newest(&request, g->setup->store_addr, f->topic,
 				     f->after);
 	} else {
+		/* Another host's records may move the end on meanwhile. */
+		f->from = g->records[f->topic].upto;
 		adapter_write_read(&request, g->setup->store_addr, f->topic,
-				   g->records[f->topic].upto, wait_ms);
+				   f->from, wait_ms);
 		timeout_s += wait_ms / 1000.;
 	}
 	h1_buf_finish(&f->answer);
--- a/cmd/figbend/gateway/gateway.c
+++ b/cmd/figbend/gateway/gateway.c
@@ -15,8 +15,11 @@
 #define IDLE_MAX_S 10.0
 #define STORE_CONNECT_TIMEOUT_S 0.4
 /* After SIGTERM the balancer takes a host out at its second missed question,
- * and asks once a second: new connections come for about three seconds. */
-#define STOP_IDLE_US 3200000LL
+ * and asks once a second: new requests are taken for so long. What comes later
+ * would not end in time, and is refused. */
+#define STOP_TAKE_US 2900000LL
+/* Of the time to stop, at most this part is for taking requests. */
+#define STOP_TAKE_PART 0.375
 /* What is still running at the end of the time to stop is cut. */
 #define STOP_MARGIN_S 0.3
 /* Of the process's memory, requests that are being read may take a quarter. */
@@ -53,6 +56,18 @@
 	return !g->stopping && g->directory && g->fleet.n;
 }
 
+/* See gateway.h. */
+bool gateway_takes(const struct gateway *g)
+{
+	double since_us;
+
+	if (!g->stopping)
+		return true;
+	since_us = (double)(gateway_now_us(g) - g->stop_us);
+	return since_us < STOP_TAKE_US &&
+	       since_us < g->setup->stop_s * 1e6 * STOP_TAKE_PART;
+}
+
 static void on_ready_request(void *ctx, struct h1_conn *c)
 {
 	struct gateway *g = ctx;
@@ -124,9 +139,10 @@
 {
 	double since_s = (double)(now_us - g->stop_us) / 1e6;
 
-	if (now_us - g->stop_us < STOP_IDLE_US)
+	if (!gateway_takes(g))
+		h1_server_close_idle(&g->callers);
+	else
 		return;
-	h1_server_close_idle(&g->callers);
 	if (!g->n_runs && !g->callers.conns_n)
 		ev_break(g->loop, EVBREAK_ALL);
 	if (since_s > g->setup->stop_s - STOP_MARGIN_S) {
--- a/cmd/figbend/gateway/gateway.h
+++ b/cmd/figbend/gateway/gateway.h
@@ -36,6 +36,7 @@
 	bool in_snapshot;
 	char after[RECORD_KEY_BYTES];
 	uint64_t snapshot_end;
+	uint64_t from;	/* that the call in progress asked for */
 	ev_timer timer; /* the next call, or the end of the present one */
 	int64_t ok_us;	/* last answer */
 	int64_t failed_us;
@@ -116,6 +117,8 @@
 int64_t gateway_clock_us(void);
 uint64_t gateway_random(struct gateway *g);
 bool gateway_ready(const struct gateway *g);
+/* Tells whether a request that comes now can be served before the process ends. */
+bool gateway_takes(const struct gateway *g);
 
 /* follow.c */
 void follow_init(struct gateway *g);
--- a/cmd/figbend/gateway/pools.c
+++ b/cmd/figbend/gateway/pools.c
@@ -60,12 +60,18 @@
 	t->endpoint_id = e->says.id;
 }
 
-/* Gives back what the request has reserved and not used. */
-void pools_release(struct run *r)
+/* Gives back the reservation, if it was not used. */
+static void release_hold(struct run *r)
 {
 	if (r->hold[0] && r->endpoint)
 		errand_hold_drop(r->g, r->endpoint, r->hold);
 	r->hold[0] = '\0';
+}
+
+/* Gives back what the request has reserved and not used. */
+void pools_release(struct run *r)
+{
+	release_hold(r);
 	if (r->handle[0] && r->prefiller) {
 		stats_add(&r->g->stats, STATS_prefills_lost, 1);
 		errand_handle_drop(r->g, r->prefiller, r->handle);
@@ -250,7 +256,8 @@
 	enum fleet_none why;
 	struct fleet_endpoint *e;
 
-	if (r->no_prefill || r->prefilled_once || r->events.last_id >= 0) {
+	if (r->handle[0] || r->no_prefill || r->prefilled_once ||
+	    r->events.last_id >= 0) {
 		ask_decode(r);
 		return;
 	}
@@ -431,6 +438,14 @@
 		run_advance(r);
 		return;
 	}
+	if (!fleet_usable(&r->g->fleet, r->endpoint)) {
+		/* It began to leave meanwhile; the prefill's result is kept. */
+		log_step(r, r->endpoint, "decode", "endpoint leaves");
+		release_hold(r);
+		run_leave_endpoint(r);
+		run_advance(r);
+		return;
+	}
 	r->step = RUN_SENT;
 	error = run_send(r, r->endpoint, transfer ? CALL_TRANSFER : CALL_WHOLE,
 			 &decode_handlers);
--- a/cmd/figbend/gateway/run.c
+++ b/cmd/figbend/gateway/run.c
@@ -425,6 +425,11 @@
 		turn_away(g, c, call.id, 400, STATS_rejected, NULL, why);
 		return;
 	}
+	if (!gateway_takes(g)) {
+		turn_away(g, c, call.id, 503, STATS_refused_full,
+			  "Retry-After: 0.05\r\n", "this host is stopping");
+		return;
+	}
 	if (!g->directory) {
 		turn_away(g, c, call.id, 503, STATS_refused_full,
 			  "Retry-After: 0.5\r\n", "no configuration yet");
