--- a/cmd/figbend/gateway/pools.c
+++ b/cmd/figbend/gateway/pools.c
@@ -80,8 +80,6 @@
 	if (r->prefiller && r->prefill_counted)
 		fleet_prompt_read(r->prefiller, r->call.prompt.prompt_tokens);
 	r->prefill_counted = false;
-	fleet_unref(r->prefiller);
-	r->prefiller = NULL;
 }
 
 /* The present endpoint is given up; the request looks for another. */
--- a/cmd/figbend/gateway/run.c
+++ b/cmd/figbend/gateway/run.c
@@ -77,6 +77,7 @@
 	h1_exchange_cancel(&r->exchange);
 	pools_release(r);
 	run_leave_endpoint(r);
+	fleet_unref(r->prefiller);
 	ev_timer_stop(g->loop, &r->limit);
 	ev_timer_stop(g->loop, &r->step_timer);
 	if (r->is_waiting) {
@@ -261,6 +262,8 @@
 	s.deadline_ms = (uint32_t)(left_us > 1000 ? left_us / 1000 : 1);
 	if (phase != CALL_PREFILL && r->events.last_id >= 0)
 		s.resume_after = r->events.last_id;
+	if (phase == CALL_WHOLE && r->prefiller && r->prefiller->listed)
+		s.fetch_addr = r->prefiller->says.addr_text;
 	if (phase == CALL_TRANSFER) {
 		s.source_addr = r->prefiller->says.addr_text;
 		s.source_handle = r->handle;
--- a/pkg/call/call.h
+++ b/pkg/call/call.h
@@ -64,8 +64,9 @@
 	int priority;		 /* 0 first .. 9; -1: not said */
 	const char *source_addr; /* of the prefill's result */
 	const char *source_handle;
-	const char *hold;     /* memory reserved before, or NULL */
-	int64_t resume_after; /* event to go on after; -1: from the start */
+	const char *fetch_addr; /* an endpoint that may keep the prompt */
+	const char *hold;	/* memory reserved before, or NULL */
+	int64_t resume_after;	/* event to go on after; -1: from the start */
 };
 
 /* What an endpoint's answer says besides its status and body. */
