--- a/cmd/figbend/gateway/pools.c
+++ b/cmd/figbend/gateway/pools.c
@@ -34,6 +34,9 @@
 #define GAP_DEAD_US 1300000LL
 /* Memory goes by blocks; a stream may end in the middle of one. */
 #define BLOCK_TOKENS 16
+/* Runs at an endpoint are at different points, so that they do not take their
+ * whole output's memory at once; more than this part of it stands idle. */
+#define GROWTH_SHARE 0.35
 /* Of outputs, half are longer than the caller's estimate. */
 #define LIKELY_FACTOR 1.3
 
@@ -50,7 +53,8 @@
 
 	if (likely > 0 && likely < out)
 		out = (uint32_t)likely;
-	return (p->prompt_tokens + out) / BLOCK_TOKENS * BLOCK_TOKENS +
+	return (p->prompt_tokens + (uint32_t)(out * GROWTH_SHARE)) /
+		       BLOCK_TOKENS * BLOCK_TOKENS +
 	       BLOCK_TOKENS;
 }
 
--- a/cmd/figbend/gateway/run.c
+++ b/cmd/figbend/gateway/run.c
@@ -11,8 +11,10 @@
 #define LIMIT_MARGIN_US 60000LL
 /* The longest that a request without any deadline is kept. */
 #define LIMIT_MAX_US 60000000LL
-/* What a refused caller is told when nothing better is known. */
-#define RETRY_AFTER_S 0.4
+/* When a refused caller may come back: a failing service is known again after a
+ * moment; memory of model endpoints comes free as streams of some seconds end. */
+#define RETRY_AFTER_PLAIN_S 0.3
+#define RETRY_AFTER_POOLS_S 2.5
 
 static const char *const step_names[] = {
 	[RUN_WAIT] = "wait",
@@ -127,7 +129,10 @@
 	}
 	log_end(r, "refused", 503, reason);
 	stats_add(&r->g->stats, STATS_refused_full, 1);
-	snprintf(fields, sizeof(fields), "Retry-After: %g\r\n", RETRY_AFTER_S);
+	snprintf(fields, sizeof(fields), "Retry-After: %g\r\n",
+		 r->service && r->service->engine.present
+			 ? RETRY_AFTER_POOLS_S
+			 : RETRY_AFTER_PLAIN_S);
 	h1_answer(r->conn, 503, fields, NULL, 0);
 	run_free(r);
 }
