--- a/cmd/figbend/gateway/pools.c
+++ b/cmd/figbend/gateway/pools.c
@@ -20,7 +20,7 @@
 #define PATIENCE_MARGIN_US 300000LL
 /* Memory that late requests leave free for those that can be in time, as a
  * share of an endpoint's. */
-#define LATE_RESERVE 0.15
+#define LATE_RESERVE 0.25
 /* A reservation answers from memory; longer means that the connection hangs. */
 #define HOLD_TIMEOUT_US 200000LL
 /* A reservation covers the prefill and the transfer. */
