--- a/cmd/figbend/gateway/beats.c
+++ b/cmd/figbend/gateway/beats.c
@@ -15,6 +15,11 @@
 
 /* Between messages with few hosts; limits are exact to what passes in it. */
 #define BEAT_MIN_S 0.2
+/* Of the inexactness that operators allow, this part is added to bursts, so that
+ * what is on its way between hosts refuses nobody within the limit. */
+#define LIMIT_SLACK_PART 0.4
+/* Messages that may be lost before a host counts as silent. */
+#define SILENT_BEATS 5
 /* With many hosts a host sends one message in so many seconds. */
 #define BEAT_PER_HOST_S 0.01
 #define SILENT_US 2000000LL
@@ -327,6 +332,9 @@
 	double next_s = BEAT_PER_HOST_S * share_hosts(&g->share);
 	struct gateway_peer *p;
 
+	if (next_s < BEAT_MIN_S)
+		next_s = BEAT_MIN_S;
+	g->share.silent_us = (int64_t)(SILENT_BEATS * next_s * 1e6);
 	forget_silent(g);
 	if (fill(g, s) == 0)
 		TAILQ_FOREACH(p, &g->peers, entry)
@@ -334,7 +342,7 @@
 	free(s->spent.spent_val);
 	free(s->load.load_val);
 	ev_timer_stop(loop, w);
-	ev_timer_set(w, next_s > BEAT_MIN_S ? next_s : BEAT_MIN_S, 0.);
+	ev_timer_set(w, next_s, 0.);
 	ev_timer_start(loop, w);
 }
 
@@ -345,6 +353,7 @@
 
 	TAILQ_INIT(&g->peers);
 	share_init(&g->share);
+	g->share.slack = g->setup->limit_slack * LIMIT_SLACK_PART;
 	r = peer_init(&g->peer, g->loop, g->setup->peer_addr, g->setup->host,
 		      g->setup->secret, g->boot_us, on_call, on_message, g);
 	if (r < 0)
--- a/cmd/figbend/gateway/errand.c
+++ b/cmd/figbend/gateway/errand.c
@@ -4,23 +4,19 @@
 
 #include "logline.h"
 
-/* Calls to endpoints that no request waits for. */
+/*
+ * Gives back at endpoints what requests have reserved and not used; no request
+ * waits for the outcome, and what fails lapses by itself.
+ */
 
+/* Reservations and results live about a second. */
 #define TIMEOUT_S 0.6
 
-enum errand_kind {
-	ERRAND_DROP,
-	ERRAND_REPORT,
-};
-
 struct errand {
 	TAILQ_ENTRY(errand) entry;
 	struct gateway *g;
-	enum errand_kind kind;
 	struct fleet_endpoint *endpoint;
 	struct h1_exchange exchange;
-	struct h1_buf answer;
-	uint16_t status;
 	ev_timer timer;
 };
 
@@ -28,9 +24,6 @@
 {
 	ev_timer_stop(a->g->loop, &a->timer);
 	h1_exchange_cancel(&a->exchange);
-	h1_buf_finish(&a->answer);
-	if (a->kind == ERRAND_REPORT)
-		a->endpoint->asked = false;
 	fleet_unref(a->endpoint);
 	TAILQ_REMOVE(&a->g->errands, a, entry);
 	free(a);
@@ -38,33 +31,11 @@
 
 static enum h1_verdict on_head(void *ctx, const struct h1_head *h)
 {
-	struct errand *a = ctx;
-
-	a->status = h->status;
 	return H1_TAKE;
 }
 
 static void on_body(void *ctx, const void *p, size_t n)
 {
-	struct errand *a = ctx;
-
-	h1_buf_add(&a->answer, p, n);
-}
-
-/* A load report that cannot be read says nothing. */
-static void take_report(struct errand *a)
-{
-	struct fleet_report report;
-
-	if (a->status != 200 ||
-	    adapter_read_report(h1_buf_data(&a->answer),
-				h1_buf_bytes(&a->answer), &report) < 0) {
-		logline(LOG_INFO, "report_unreadable", "endpoint=%s status=%u",
-			a->endpoint->says.id, a->status);
-		return;
-	}
-	stats_add(&a->g->stats, STATS_reports, 1);
-	fleet_reported(a->endpoint, &report, gateway_now_us(a->g));
 }
 
 static void on_end(void *ctx, enum h1_end end, const char *reason)
@@ -72,11 +43,8 @@
 	struct errand *a = ctx;
 
 	if (end != H1_WHOLE)
-		logline(LOG_INFO, "call_failed",
-			"endpoint=%s kind=%d why=\"%s\"", a->endpoint->says.id,
-			a->kind, reason);
-	else if (a->kind == ERRAND_REPORT)
-		take_report(a);
+		logline(LOG_INFO, "release_failed", "endpoint=%s why=\"%s\"",
+			a->endpoint->says.id, reason);
 	errand_free(a);
 }
 
@@ -86,27 +54,24 @@
 {
 	struct errand *a = w->data;
 
-	logline(LOG_INFO, "call_failed", "endpoint=%s kind=%d why=timeout",
-		a->endpoint->says.id, a->kind);
+	logline(LOG_INFO, "release_failed", "endpoint=%s why=timeout",
+		a->endpoint->says.id);
 	errand_free(a);
 }
 
 /* Starts a call; the request's bytes are freed. */
-static void start(struct gateway *g, enum errand_kind kind,
-		  struct fleet_endpoint *e, struct h1_buf *request)
+static void start(struct gateway *g, struct fleet_endpoint *e,
+		  struct h1_buf *request)
 {
 	struct errand *a = calloc(1, sizeof(*a));
 
 	if (a) {
 		a->g = g;
-		a->kind = kind;
 		a->endpoint = fleet_ref(e);
 		TAILQ_INSERT_TAIL(&g->errands, a, entry);
 		ev_timer_init(&a->timer, on_timer, TIMEOUT_S, 0.);
 		a->timer.data = a;
 		ev_timer_start(g->loop, &a->timer);
-		if (kind == ERRAND_REPORT)
-			e->asked = true;
 		if (h1_exchange_start(&g->endpoints, &a->exchange,
 				      &e->says.addr, h1_buf_data(request),
 				      h1_buf_bytes(request), &handlers, a) < 0)
@@ -123,7 +88,7 @@
 	struct h1_buf request = {0};
 
 	adapter_write_hold_drop(&request, &t, hold);
-	start(g, ERRAND_DROP, e, &request);
+	start(g, e, &request);
 }
 
 /* Frees a prefill's result that nobody will take. */
@@ -134,17 +99,7 @@
 	struct h1_buf request = {0};
 
 	adapter_write_handle_drop(&request, &t, handle);
-	start(g, ERRAND_DROP, e, &request);
-}
-
-/* See gateway.h. */
-void errand_report(struct gateway *g, struct fleet_endpoint *e)
-{
-	struct adapter_target t = {e->says.addr_text, e->says.id};
-	struct h1_buf request = {0};
-
-	adapter_write_report(&request, &t);
-	start(g, ERRAND_REPORT, e, &request);
+	start(g, e, &request);
 }
 
 /* Ends all calls. */
--- a/cmd/figbend/gateway/gateway.c
+++ b/cmd/figbend/gateway/gateway.c
@@ -249,7 +249,6 @@
 				       ? s->descriptors - DESCRIPTORS_OWN
 				       : s->descriptors / 2;
 	follow_init(g);
-	probe_init(g);
 	watch_signals(g);
 	return 0;
 }
@@ -257,7 +256,6 @@
 /* Stops all parts. */
 void gateway_finish(struct gateway *g)
 {
-	probe_finish(g);
 	errand_finish(g);
 	ev_timer_stop(g->loop, &g->sweep);
 	ev_timer_stop(g->loop, &g->retry_waiting);
--- a/cmd/figbend/gateway/gateway.h
+++ b/cmd/figbend/gateway/gateway.h
@@ -89,7 +89,7 @@
 	ev_timer put_timer;
 	bool registered;
 
-	/* run files; beliefs also from follow.c, beats.c and probe.c */
+	/* run files; beliefs also from follow.c and beats.c */
 	struct fleet fleet;
 	struct runs runs;
 	struct runs waiting; /* for room at an endpoint, by arrival */
@@ -106,7 +106,6 @@
 	struct share_budgets budgets; /* runs */
 	struct stats stats;	      /* all */
 
-	ev_timer probe;		/* probe.c */
 	struct errands errands; /* errand.c */
 };
 
@@ -139,14 +138,8 @@
 		      const char *hold);
 void errand_handle_drop(struct gateway *g, struct fleet_endpoint *e,
 			const char *handle);
-/* Takes a load report in. */
-void errand_report(struct gateway *g, struct fleet_endpoint *e);
 void errand_finish(struct gateway *g);
 
-/* probe.c */
-void probe_init(struct gateway *g);
-void probe_finish(struct gateway *g);
-
 /* run.c */
 void run_init(struct gateway *g);
 void run_request(void *ctx, struct h1_conn *c);
--- a/cmd/figbend/gateway/pools.c
+++ b/cmd/figbend/gateway/pools.c
@@ -103,12 +103,11 @@
 
 	logline(LOG_INFO, "step_failed",
 		"request=%s step=%s endpoint=%s why=\"%s\" took_ms=%lld "
-		"free_tokens=%lld report_age_ms=%lld",
+		"free_tokens=%lld own=%u others=%u",
 		r->call.id, step, e->says.id, reason,
 		(long long)(now_us - r->sent_us) / 1000,
 		(long long)fleet_free_tokens(e, r->service->engine.kv_tokens),
-		e->report_us ? (long long)(now_us - e->report_us) / 1000
-			     : -1LL);
+		e->running, e->peer_running);
 }
 
 static enum h1_verdict on_call_head(void *ctx, const struct h1_head *h)
--- a/pkg/fleet/choose.c
+++ b/pkg/fleet/choose.c
@@ -31,16 +31,9 @@
 }
 
 /* See fleet.h. */
-int64_t fleet_free_tokens(const struct fleet_endpoint *e, uint32_t fallback)
+int64_t fleet_free_tokens(const struct fleet_endpoint *e, uint32_t total_tokens)
 {
-	int64_t total = e->report_us && e->report.total_tokens
-				? e->report.total_tokens
-				: fallback;
-	int64_t known = (int64_t)(e->tokens + e->peer_tokens);
-	int64_t reported =
-		(int64_t)(e->report.used_tokens + e->tokens_since_report);
-
-	return total - (reported > known ? reported : known);
+	return (int64_t)total_tokens - (int64_t)(e->tokens + e->peer_tokens);
 }
 
 /* Tells whether a cold endpoint has had this host's share of this second. */
@@ -96,8 +89,7 @@
 {
 	if (now_us < e->out_until_us || (e->out_until_us && e->probing))
 		return FLEET_ALL_OUT;
-	if (now_us < e->full_until_us || cold_full(f, w, e, now_us) ||
-	    e->report.busy)
+	if (now_us < e->full_until_us || cold_full(f, w, e, now_us))
 		return FLEET_ALL_FULL;
 	if (w->tokens && fleet_free_tokens(e, w->total_tokens) <
 				 (int64_t)w->tokens + w->reserve_tokens)
--- a/pkg/fleet/fleet.c
+++ b/pkg/fleet/fleet.c
@@ -166,7 +166,6 @@
 {
 	e->running++;
 	e->tokens += tokens;
-	e->tokens_since_report += tokens;
 	e->prompt_tokens += prompt_tokens;
 	if (now_us - e->cold_second_us >= 1000000) {
 		e->cold_second_us = now_us;
@@ -190,9 +189,6 @@
 	if (e->running)
 		e->running--;
 	e->tokens -= tokens < e->tokens ? tokens : e->tokens;
-	e->tokens_since_report -= tokens < e->tokens_since_report
-					  ? tokens
-					  : e->tokens_since_report;
 	if (e->probing)
 		e->probing--;
 }
@@ -242,15 +238,6 @@
 	}
 }
 
-/* Takes in a load report. */
-void fleet_reported(struct fleet_endpoint *e, const struct fleet_report *r,
-		    int64_t now_us)
-{
-	e->report = *r;
-	e->report_us = now_us;
-	e->tokens_since_report = 0;
-}
-
 /* Takes in the load that came with an answer. */
 void fleet_load(struct fleet_endpoint *e, uint32_t running, uint32_t waiting,
 		int64_t now_us)
--- a/pkg/fleet/fleet.h
+++ b/pkg/fleet/fleet.h
@@ -10,9 +10,9 @@
 
 /*
  * The endpoints that this host knows, what it believes of each, and which one
- * it chooses. Beliefs come from the endpoints' own entries, from their load
- * reports, from what other hosts say they run there, and above all from how
- * this host's own requests end. Pure: time comes in as an argument.
+ * it chooses. Beliefs come from the endpoints' own entries, from what
+ * this and the other hosts run there, and from how this host's own requests
+ * end. Pure: time comes in as an argument.
  */
 
 #define FLEET_ADDR_BYTES 32
@@ -38,17 +38,6 @@
 	bool leaving;
 };
 
-/* A load report; as old as the endpoint's lag. */
-struct fleet_report {
-	enum fleet_stage stage;
-	uint32_t running;
-	uint32_t waiting;
-	uint32_t used_tokens;
-	uint32_t total_tokens;
-	uint32_t held;
-	bool busy; /* an order is in progress */
-};
-
 /* How a request at an endpoint ended. */
 enum fleet_outcome {
 	FLEET_GOOD,
@@ -76,9 +65,6 @@
 	uint64_t peer_tokens;
 	uint32_t peer_prompt_tokens;
 
-	struct fleet_report report;
-	int64_t report_us; /* 0: none yet */
-	uint64_t tokens_since_report;
 	uint32_t load_running; /* from answers */
 	uint32_t load_waiting;
 	int64_t load_us;
@@ -92,7 +78,6 @@
 	int64_t cold_second_us;
 	uint32_t cold_starts;
 	uint32_t probing; /* requests sent while it is on trial */
-	bool asked;	  /* for a load report */
 };
 
 TAILQ_HEAD(fleet_endpoints, fleet_endpoint);
@@ -117,7 +102,7 @@
 	uint32_t tokens;	 /* memory it will take; 0: none */
 	uint32_t reserve_tokens; /* that it leaves to others */
 	uint32_t prompt_tokens;
-	uint32_t total_tokens; /* of an endpoint that has not reported yet */
+	uint32_t total_tokens; /* memory of an endpoint */
 	double cold_per_s;
 	const char *near;			/* preferred domain, or NULL */
 	const struct fleet_endpoint *not_on[4]; /* tried before */
@@ -150,7 +135,8 @@
 				    const struct fleet_want *want,
 				    int64_t now_us, enum fleet_none *why);
 /* Free memory as believed, less what is on its way; may be negative. */
-int64_t fleet_free_tokens(const struct fleet_endpoint *e, uint32_t fallback);
+int64_t fleet_free_tokens(const struct fleet_endpoint *e,
+			  uint32_t total_tokens);
 
 void fleet_started(struct fleet_endpoint *e, uint32_t tokens,
 		   uint32_t prompt_tokens, int64_t now_us);
@@ -158,8 +144,6 @@
 void fleet_ended(struct fleet_endpoint *e, uint32_t tokens);
 void fleet_outcome(struct fleet_endpoint *e, enum fleet_outcome o,
 		   int64_t took_us, int64_t now_us);
-void fleet_reported(struct fleet_endpoint *e, const struct fleet_report *r,
-		    int64_t now_us);
 void fleet_load(struct fleet_endpoint *e, uint32_t running, uint32_t waiting,
 		int64_t now_us);
 
--- a/pkg/setup/setup.c
+++ b/pkg/setup/setup.c
@@ -42,6 +42,7 @@
 	{"retry_ratio", ROW_RATIO, AT(retry_ratio), 0, 10},
 	{"retry_window_s", ROW_RATIO, AT(retry_window_s), 0.1, 3600},
 	{"retry_slack", ROW_RATIO, AT(retry_slack), 0, 1e6},
+	{"limit_slack", ROW_RATIO, AT(limit_slack), 0, 1e12},
 	{"cold_over", ROW_RATIO, AT(cold_over), 1, 100},
 };
 
--- a/pkg/setup/setup.h
+++ b/pkg/setup/setup.h
@@ -32,6 +32,7 @@
 	double retry_ratio;
 	double retry_window_s;
 	double retry_slack;
+	double limit_slack; /* by which accounts' limits may be exceeded */
 	double cold_over;
 };
 
--- a/pkg/share/share.c
+++ b/pkg/share/share.c
@@ -4,13 +4,14 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* A host that says nothing for so long is taken to spend its equal part. */
+/* Until it is set otherwise. */
 #define SILENT_US 1000000LL
 
 /* Starts without accounts and hosts. Returns 0. */
 int share_init(struct share *s)
 {
 	memset(s, 0, sizeof(*s));
+	s->silent_us = SILENT_US;
 	return 0;
 }
 
@@ -41,7 +42,7 @@
 
 	for (i = 0; i < s->n_hosts; i++)
 		n += s->host[i].name[0] &&
-		     now_us - s->host[i].heard_us > SILENT_US;
+		     now_us - s->host[i].heard_us > s->silent_us;
 	return n;
 }
 
@@ -75,6 +76,7 @@
 {
 	struct share_account *a = find(s, name);
 
+	burst += s->slack;
 	if (!a) {
 		if (s->n_accounts == SHARE_ACCOUNTS_MAX)
 			return -ENOSPC;
--- a/pkg/share/share.h
+++ b/pkg/share/share.h
@@ -37,7 +37,9 @@
 	struct share_account account[SHARE_ACCOUNTS_MAX];
 	uint32_t n_accounts;
 	struct share_host host[SHARE_HOSTS_MAX];
-	uint32_t n_hosts; /* rows in use, free ones among them */
+	uint32_t n_hosts;  /* rows in use, free ones among them */
+	double slack;	   /* added to every burst */
+	int64_t silent_us; /* without a word a host is taken to spend its part */
 };
 
 int share_init(struct share *s);
--- a/pkg/stats/stats.h
+++ b/pkg/stats/stats.h
@@ -31,7 +31,6 @@
 	X(answers_foreign, "answers of another request, skipped")              \
 	X(store_calls, "calls to the store")                                   \
 	X(store_failures, "calls to the store that failed")                    \
-	X(reports, "load reports read")                                        \
 	X(connects, "connections opened to endpoints")                         \
 	X(peer_messages, "messages from other hosts")                          \
 	X(log_lines_dropped, "log lines left out")
