--- a/cmd/figbend/gateway/beats.c
+++ b/cmd/figbend/gateway/beats.c
@@ -25,6 +25,8 @@
 #define SILENT_US 2000000LL
 /* A host that says nothing for so long is forgotten until it speaks again. */
 #define FORGET_US 20000000LL
+/* Hosts of a domain that read the store's streams for all of it. */
+#define FOLLOWERS 2
 #define RECORDS_TIMEOUT_MS 800
 
 struct gateway_peer_load {
@@ -90,18 +92,37 @@
 	}
 }
 
+static bool follows(const struct gateway_peer *p, int64_t now_us)
+{
+	return p->heard_us && now_us - p->heard_us < SILENT_US &&
+	       p->following == FIG_FOLLOWS;
+}
+
 /* See gateway.h. */
-uint32_t beats_hosts_heard(const struct gateway *g)
+uint32_t beats_followers(const struct gateway *g)
 {
 	int64_t now_us = gateway_now_us(g);
 	const struct gateway_peer *p;
 	uint32_t n = 1;
 
 	TAILQ_FOREACH(p, &g->peers, entry)
-	n += p->heard_us && now_us - p->heard_us < SILENT_US;
+	n += follows(p, now_us);
 	return n;
 }
 
+/* See gateway.h. The hosts whose names come first are the ones that read. */
+bool beats_may_leave_it(const struct gateway *g)
+{
+	int64_t now_us = gateway_now_us(g);
+	const struct gateway_peer *p;
+	uint32_t n = 0;
+
+	TAILQ_FOREACH(p, &g->peers, entry)
+	n += follows(p, now_us) && strcmp(p->domain, g->setup->domain) == 0 &&
+	     strcmp(p->name, g->setup->host) < 0;
+	return n >= FOLLOWERS;
+}
+
 static void count_hosts(struct gateway *g)
 {
 	g->fleet.hosts = share_hosts(&g->share);
@@ -267,6 +288,8 @@
 		return;
 	p->heard_us = now_us;
 	memcpy(p->upto, s->upto, sizeof(p->upto));
+	p->following = (enum fig_following)s->following;
+	snprintf(p->domain, sizeof(p->domain), "%s", s->domain);
 	host = share_host_heard(&g->share, p->name, from->boot, now_us);
 	for (i = 0; host >= 0 && i < s->spent.spent_len; i++)
 		share_heard(&g->share, host, s->spent.spent_val[i].account,
@@ -276,6 +299,20 @@
 	ask_if_behind(g, p);
 }
 
+/* What this host says of its own reading of the store. */
+static enum fig_following following_of(const struct gateway *g)
+{
+	int t;
+
+	for (t = 0; t < FIG_TOPICS; t++) {
+		if (g->follow[t].failures || !g->follow[t].ok_us)
+			return FIG_TURNED_AWAY;
+		if (g->follow[t].passive)
+			return FIG_LEAVES_IT;
+	}
+	return FIG_FOLLOWS;
+}
+
 /* Fills a message with this host's counters; strings are borrowed. */
 static int fill(struct gateway *g, struct fig_share *s)
 {
@@ -285,6 +322,7 @@
 	memset(s, 0, sizeof(*s));
 	s->domain = (char *)g->setup->domain;
 	s->addr = (char *)g->setup->peer_addr;
+	s->following = following_of(g);
 	for (i = 0; i < FIG_TOPICS; i++)
 		s->upto[i] = g->records[i].upto;
 	s->spent.spent_val =
@@ -332,23 +370,37 @@
 	}
 }
 
-static void on_beat(struct ev_loop *loop, ev_timer *w, int events)
+/* Sends this host's counters to all hosts, or to those of its domain. */
+static void send_beats(struct gateway *g, bool domain_only)
 {
-	struct gateway *g = w->data;
 	struct fig_call call = {.kind = FIG_SHARE};
 	struct fig_share *s = &call.fig_call_u.share;
-	double next_s = BEAT_PER_HOST_S * share_hosts(&g->share);
 	struct gateway_peer *p;
 
-	if (next_s < BEAT_MIN_S)
-		next_s = BEAT_MIN_S;
-	g->share.silent_us = (int64_t)(SILENT_BEATS * next_s * 1e6);
-	forget_silent(g);
 	if (fill(g, s) == 0)
 		TAILQ_FOREACH(p, &g->peers, entry)
-	peer_send(&g->peer, p->addr, &call);
+	if (!domain_only || strcmp(p->domain, g->setup->domain) == 0)
+		peer_send(&g->peer, p->addr, &call);
 	free(s->spent.spent_val);
 	free(s->load.load_val);
+}
+
+/* See gateway.h. */
+void beats_now(struct gateway *g)
+{
+	send_beats(g, true);
+}
+
+static void on_beat(struct ev_loop *loop, ev_timer *w, int events)
+{
+	struct gateway *g = w->data;
+	double next_s = BEAT_PER_HOST_S * share_hosts(&g->share);
+
+	if (next_s < BEAT_MIN_S)
+		next_s = BEAT_MIN_S;
+	g->share.silent_us = (int64_t)(SILENT_BEATS * next_s * 1e6);
+	forget_silent(g);
+	send_beats(g, false);
 	ev_timer_stop(loop, w);
 	ev_timer_set(w, next_s, 0.);
 	ev_timer_start(loop, w);
--- a/cmd/figbend/gateway/follow.c
+++ b/cmd/figbend/gateway/follow.c
@@ -11,16 +11,19 @@
  * calls that wait for them. A connection that went silent looks like a stream
  * without news; hosts tell each other how far they are, so that it shows as soon
  * as any host has news, and hosts' calls end at different times. So the more
- * hosts there are, the longer a call may wait.
+ * hosts read, the longer a call may wait. In a domain two hosts read the streams
+ * that change; the others get the records from them.
  */
 
-#define WAIT_PER_HOST_MS 500
+#define WAIT_PER_FOLLOWER_MS 500
 /* A host alone finds a dead connection by itself: a call may wait for a third of
  * the two seconds in which a configuration has to be in force. */
 #define WAIT_MIN_MS 600
 #define WAIT_MAX_MS 12000
 /* Beyond the wait; a slow store answers in 0.4 s. */
 #define CALL_TIMEOUT_S 0.8
+/* Between looks of a host that leaves reading to others. */
+#define PASSIVE_S 0.4
 /* News that another host has had for so long should be here. */
 #define BEHIND_US 80000LL
 /* Hosts say themselves that they are there; this finds those cut off. */
@@ -245,7 +248,7 @@
  */
 static uint32_t wait_ms_of(struct follow *f)
 {
-	uint32_t ms = WAIT_PER_HOST_MS * beats_hosts_heard(f->g);
+	uint32_t ms = WAIT_PER_FOLLOWER_MS * beats_followers(f->g);
 
 	if (f->failures)
 		return 0;
@@ -314,8 +317,10 @@
 					 h1_buf_bytes(&f->answer),
 					 take_from_store, f, f->from, &next);
 
-	if (error == 0 && next > r->upto)
+	if (error == 0 && next > r->upto) {
 		r->upto = next;
+		beats_now(f->g);
+	}
 	return error;
 }
 
@@ -429,7 +434,12 @@
 		failed(f, "no answer in time");
 		return;
 	}
-	call_now(f);
+	f->passive = f->topic != ADAPTER_HOSTS && !f->in_snapshot &&
+		     !f->failures && beats_may_leave_it(f->g);
+	if (f->passive)
+		timer_set(f, PASSIVE_S);
+	else
+		call_now(f);
 }
 
 static void put_end(void *ctx, enum h1_end end, const char *reason);
@@ -497,6 +507,8 @@
 		f->behind_us = 0;
 		return false;
 	}
+	if (f->passive)
+		return true;
 	if (!f->behind_us)
 		f->behind_us = now_us;
 	if (now_us - f->behind_us < BEHIND_US)
--- a/cmd/figbend/gateway/gateway.h
+++ b/cmd/figbend/gateway/gateway.h
@@ -34,6 +34,7 @@
 	struct h1_buf answer;
 	uint16_t status;
 	bool in_snapshot;
+	bool passive; /* other hosts of the domain read the stream */
 	char after[RECORD_KEY_BYTES];
 	uint64_t snapshot_end;
 	uint64_t from;	   /* that the call in progress asked for */
@@ -51,6 +52,8 @@
 	char addr[SETUP_ADDR_BYTES];
 	int64_t heard_us; /* 0: never */
 	uint64_t upto[FIG_TOPICS];
+	enum fig_following following;
+	char domain[SETUP_NAME_BYTES];
 	bool asked;
 	struct gateway_peer_load *load;
 	uint32_t n_loads;
@@ -133,8 +136,12 @@
 int beats_init(struct gateway *g);
 void beats_finish(struct gateway *g);
 void beats_host_found(struct gateway *g, const char *name, const char *addr);
-/* This host and those that it heard a short time ago. */
-uint32_t beats_hosts_heard(const struct gateway *g);
+/* How many hosts that were heard a short time ago read the store's streams. */
+uint32_t beats_followers(const struct gateway *g);
+/* Tells whether enough others of the domain read the streams. */
+bool beats_may_leave_it(const struct gateway *g);
+/* Tells the hosts of the domain at once. */
+void beats_now(struct gateway *g);
 void beats_host_gone(struct gateway *g, const char *name);
 
 /* errand.c: calls whose outcome no request waits for. */
--- a/pkg/h1/server.c
+++ b/pkg/h1/server.c
@@ -363,11 +363,11 @@
 	}
 	if (!ev_is_active(&c->reader) && !c->broken)
 		ev_io_start(loop, &c->reader);
-	if (s->buffered_bytes > s->buffered_max_bytes && c->in_body) {
-		reject(c, 503, "too many request bytes in memory");
-		return;
-	}
 	process(c);
+	count_bytes(c);
+	if (s->buffered_bytes > s->buffered_max_bytes && !c->closing &&
+	    c->state == H1_READING && request_bytes(c))
+		reject(c, 503, "too many request bytes in memory");
 }
 
 static void on_writable(struct ev_loop *loop, ev_io *w, int events)
--- /dev/null
+++ b/pkg/h1/test/h1_head_test.cc
@@ -0,0 +1,202 @@
+#include <gtest/gtest.h>
+
+#include <cerrno>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "h1.h"
+}
+
+static int parse(const std::string &s, struct h1_head *h)
+{
+	return h1_parse_request(h, s.data(), s.size());
+}
+
+static int outcome(const std::string &fields)
+{
+	struct h1_head h;
+	int r = parse("POST /a HTTP/1.1\r\n" + fields + "\r\n", &h);
+
+	if (r == 0)
+		h1_head_finish(&h);
+	return r;
+}
+
+TEST(RequestHead, IsRead)
+{
+	struct h1_head h;
+
+	ASSERT_EQ(parse("GET /a/b?c=d HTTP/1.1\r\nHost: x\r\nA:  b c \r\n"
+			"Content-Length: 12\r\n\r\n",
+			&h),
+		  0);
+	EXPECT_STREQ(h.method, "GET");
+	EXPECT_STREQ(h.target, "/a/b?c=d");
+	EXPECT_STREQ(h1_field(&h, "a"), "b c");
+	EXPECT_EQ(h.framing, H1_LENGTH);
+	EXPECT_EQ(h.length_bytes, 12u);
+	EXPECT_FALSE(h.close);
+	h1_head_finish(&h);
+}
+
+/* RFC 9112, sections 2.2, 3.2, 5 and 6. */
+TEST(RequestHead, OfASmuggledRequestIsRefused)
+{
+	EXPECT_EQ(outcome("Host: x\r\n"), 0);
+	EXPECT_EQ(outcome("Host: x\r\nContent-Length: 1\r\n"
+			  "Content-Length: 2\r\n"),
+		  -EBADMSG);
+	EXPECT_EQ(outcome("Host: x\r\nContent-Length: 1\r\n"
+			  "Content-Length: 1\r\n"),
+		  -EBADMSG);
+	EXPECT_EQ(outcome("Host: x\r\nContent-Length: 1\r\n"
+			  "Transfer-Encoding: chunked\r\n"),
+		  -EBADMSG);
+	EXPECT_EQ(outcome("Host: x\r\nTransfer-Encoding: chunked\r\n"
+			  "Transfer-Encoding: chunked\r\n"),
+		  -EBADMSG);
+	EXPECT_EQ(outcome("Host: x\r\nTransfer-Encoding: gzip, chunked\r\n"),
+		  -ENOTSUP);
+	EXPECT_EQ(outcome("Host: x\r\nTransfer-Encoding: xchunked\r\n"),
+		  -ENOTSUP);
+	for (const char *length :
+	     {"+1", "-1", "1 1", "0x1", "", "1,1", "9999999999999999"})
+		EXPECT_EQ(outcome(std::string("Host: x\r\nContent-Length: ") +
+				  length + "\r\n"),
+			  -EBADMSG)
+			<< length;
+}
+
+TEST(RequestHead, WithMalformedLinesIsRefused)
+{
+	EXPECT_EQ(outcome(""), -EBADMSG) << "no host";
+	EXPECT_EQ(outcome("Host: x\r\nHost: y\r\n"), -EBADMSG);
+	EXPECT_EQ(outcome("Host: x\r\nContent-Length : 1\r\n"), -EBADMSG);
+	EXPECT_EQ(outcome("Host: x\r\n Folded: 1\r\n"), -EBADMSG);
+	EXPECT_EQ(outcome("Host: x\r\nno colon\r\n"), -EBADMSG);
+	EXPECT_EQ(outcome("Host: x\nA: b\r\n"), -EBADMSG) << "bare line feed";
+	EXPECT_EQ(outcome("Host: x\rA: b\r\n"), -EBADMSG);
+	EXPECT_EQ(outcome(std::string("Host: x\r\nA: b\0c\r\n", 17)), -EBADMSG);
+	EXPECT_EQ(outcome("Host: x\r\n: empty\r\n"), -EBADMSG);
+}
+
+TEST(RequestHead, NeedsAProperRequestLine)
+{
+	for (const char *line :
+	     {"GET /a", "GET  /a HTTP/1.1", "GET /a HTTP/2.0",
+	      "G@T /a HTTP/1.1", "GET a HTTP/1.1", "GET /a HTTP/1.1 ",
+	      "GET /a b HTTP/1.1", "GET /\x80 HTTP/1.1"}) {
+		struct h1_head h;
+
+		EXPECT_EQ(parse(std::string(line) + "\r\nHost: x\r\n\r\n", &h),
+			  -EBADMSG)
+			<< line;
+	}
+}
+
+TEST(RequestHead, WithTooManyFieldsIsRefused)
+{
+	std::string s = "Host: x\r\n";
+
+	for (int i = 0; i < H1_FIELDS_MAX; i++)
+		s += "A: b\r\n";
+	EXPECT_EQ(outcome(s), -E2BIG);
+}
+
+TEST(AnswerHead, SaysHowItsBodyEnds)
+{
+	struct {
+		const char *text;
+		enum h1_framing framing;
+		bool close;
+	} rows[] = {
+		{"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n", H1_LENGTH,
+		 false},
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+		 H1_CHUNKED, false},
+		{"HTTP/1.1 200 OK\r\nConnection: keep-alive, Close\r\n\r\n",
+		 H1_UNTIL_CLOSE, true},
+		{"HTTP/1.0 200 OK\r\nContent-Length: 3\r\n\r\n", H1_LENGTH,
+		 true},
+		{"HTTP/1.1 204 No\r\nContent-Length: 3\r\n\r\n", H1_NO_BODY,
+		 false},
+	};
+
+	for (auto &row : rows) {
+		struct h1_head h;
+
+		ASSERT_EQ(h1_parse_answer(&h, row.text, strlen(row.text)), 0);
+		EXPECT_EQ(h.framing, row.framing) << row.text;
+		EXPECT_EQ(h.close, row.close) << row.text;
+		h1_head_finish(&h);
+	}
+}
+
+static std::string decode(const std::string &s, size_t step, int *error,
+			  bool *whole)
+{
+	struct h1_head h = {};
+	struct h1_body b;
+	struct h1_buf out = {};
+	std::string text;
+	size_t at = 0, used;
+
+	h.framing = H1_CHUNKED;
+	h1_body_init(&b, &h);
+	*error = 0;
+	while (at < s.size() && !b.whole && !*error) {
+		size_t n = std::min(step, s.size() - at);
+
+		*error = h1_body_feed(&b, s.data() + at, n, &used, &out);
+		at += used;
+	}
+	*whole = b.whole;
+	text.assign(h1_buf_data(&out), h1_buf_bytes(&out));
+	h1_buf_finish(&out);
+	return text;
+}
+
+TEST(ChunkedBody, IsDecodedHoweverItIsCut)
+{
+	std::string s =
+		"5\r\nhello\r\nA;x=y\r\n, 10 bytes\r\n0\r\nT: v\r\n\r\n";
+
+	for (size_t step = 1; step <= s.size(); step++) {
+		int error;
+		bool whole;
+
+		EXPECT_EQ(decode(s, step, &error, &whole), "hello, 10 bytes");
+		EXPECT_EQ(error, 0);
+		EXPECT_TRUE(whole);
+	}
+}
+
+TEST(ChunkedBody, OfOddFormIsRefused)
+{
+	for (const char *s :
+	     {"+5\r\nhello\r\n0\r\n\r\n", "0x5\r\nhello\r\n0\r\n\r\n",
+	      "5 \r\nhello\r\n0\r\n\r\n", "5\nhello\r\n0\r\n\r\n",
+	      "5\r\nhello!\r\n0\r\n\r\n", "\r\nhello\r\n0\r\n\r\n",
+	      "123456789\r\nhello", "-1\r\n", "5\r\nhello\r\n0\r\n\n",
+	      "5;a\nb\r\nhello\r\n0\r\n\r\n"}) {
+		int error;
+		bool whole;
+
+		decode(s, 1000, &error, &whole);
+		EXPECT_EQ(error, -EBADMSG) << s;
+		EXPECT_FALSE(whole) << s;
+	}
+}
+
+TEST(Addr, IsAnIpAndAPort)
+{
+	struct sockaddr_in a;
+
+	EXPECT_EQ(h1_addr("10.1.2.3:80", &a), 0);
+	EXPECT_EQ(ntohs(a.sin_port), 80);
+	for (const char *s :
+	     {"", "10.1.2.3", "10.1.2.3:", "10.1.2.3:0", "10.1.2.3:65536",
+	      "10.1.2:80", "x:80", "10.1.2.3:80x"})
+		EXPECT_EQ(h1_addr(s, &a), -EINVAL) << s;
+}
--- /dev/null
+++ b/pkg/h1/test/h1_socket_test.cc
@@ -0,0 +1,427 @@
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <functional>
+#include <string>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <vector>
+
+extern "C" {
+#include "h1.h"
+}
+
+/* Servers and clients on loopback, in one loop, against raw sockets. */
+
+static struct sockaddr_in loopback(uint16_t port)
+{
+	struct sockaddr_in a = {};
+
+	a.sin_family = AF_INET;
+	a.sin_port = htons(port);
+	a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	return a;
+}
+
+static uint16_t port_of(int fd)
+{
+	struct sockaddr_in a;
+	socklen_t n = sizeof(a);
+
+	getsockname(fd, (struct sockaddr *)&a, &n);
+	return ntohs(a.sin_port);
+}
+
+struct Server {
+	struct ev_loop *loop = ev_loop_new(0);
+	struct h1_server server;
+	struct h1_limits limits = {1024, 4096, 200, 400};
+	std::vector<std::string> requests;
+	std::vector<uint16_t> rejected;
+	int gone = 0;
+	bool answer = true;
+	struct h1_conn *waiting = nullptr;
+
+	static void on_request(void *ctx, struct h1_conn *c)
+	{
+		Server *s = (Server *)ctx;
+
+		s->requests.push_back(
+			std::string(c->request.head.method) + " " +
+			c->request.head.target + " " +
+			std::string(h1_buf_data(&c->request.body),
+				    h1_buf_bytes(&c->request.body)));
+		if (s->answer)
+			h1_answer(c, 200, NULL, "ok", 2);
+		else
+			s->waiting = c;
+	}
+	static void on_gone(void *ctx, struct h1_conn *c)
+	{
+		((Server *)ctx)->gone++;
+	}
+	static void on_rejected(void *ctx, uint16_t status, const char *reason)
+	{
+		((Server *)ctx)->rejected.push_back(status);
+	}
+	struct h1_server_handlers handlers = {on_request, on_gone, on_rejected};
+
+	Server()
+	{
+		struct sockaddr_in a = loopback(0);
+
+		EXPECT_EQ(h1_server_init(&server, loop, &a, &limits, &handlers,
+					 this),
+			  0);
+	}
+	~Server()
+	{
+		h1_server_finish(&server);
+		ev_loop_destroy(loop);
+	}
+	int connect()
+	{
+		struct sockaddr_in a = loopback(port_of(server.fd));
+		int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+
+		::connect(fd, (struct sockaddr *)&a, sizeof(a));
+		turn(0.01);
+		return fd;
+	}
+	/* Lets the loop run for some time. */
+	void turn(double s)
+	{
+		ev_timer t;
+
+		ev_timer_init(
+			&t,
+			[](struct ev_loop *l, ev_timer *, int) {
+				ev_break(l, EVBREAK_ALL);
+			},
+			s, 0.);
+		ev_timer_start(loop, &t);
+		ev_run(loop, 0);
+	}
+	std::string exchange(int fd, const std::string &bytes, double s = 0.05)
+	{
+		char p[65536];
+
+		EXPECT_EQ(send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL),
+			  (ssize_t)bytes.size());
+		turn(s);
+		ssize_t n = recv(fd, p, sizeof(p), 0);
+		return n > 0 ? std::string(p, (size_t)n) : "";
+	}
+};
+
+TEST(Server, AnswersPipelinedRequestsInTurn)
+{
+	Server s;
+	int fd = s.connect();
+
+	std::string got = s.exchange(
+		fd, "POST /1 HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nab"
+		    "POST /2 HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: "
+		    "chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+		    "GET /3 HTTP/1.1\r\nHost: x\r\n\r\n");
+	EXPECT_EQ(s.requests, (std::vector<std::string>{
+				      "POST /1 ab", "POST /2 abc", "GET /3 "}));
+	EXPECT_EQ(got.find("Connection: close"), std::string::npos);
+	close(fd);
+}
+
+TEST(Server, RefusesASmuggledRequestAndCloses)
+{
+	Server s;
+	int fd = s.connect();
+
+	std::string got = s.exchange(
+		fd, "POST /1 HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n"
+		    "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+		    "GET /hidden HTTP/1.1\r\nHost: x\r\n\r\n");
+	EXPECT_EQ(got.substr(0, 12), "HTTP/1.1 400");
+	EXPECT_NE(got.find("Connection: close"), std::string::npos);
+	EXPECT_TRUE(s.requests.empty());
+	EXPECT_EQ(recv(fd, &got[0], 1, 0), 0) << "the connection is closed";
+	close(fd);
+}
+
+TEST(Server, RefusesWhatIsTooLargeOrTooSlow)
+{
+	Server s;
+	int fd = s.connect();
+
+	EXPECT_EQ(s.exchange(fd, "GET /" + std::string(2000, 'a')).substr(9, 3),
+		  "431");
+	close(fd);
+	fd = s.connect();
+	EXPECT_EQ(s.exchange(fd, "POST / HTTP/1.1\r\nHost: x\r\n"
+				 "Content-Length: 5000\r\n\r\n")
+			  .substr(9, 3),
+		  "413");
+	close(fd);
+	fd = s.connect();
+	EXPECT_EQ(s.exchange(fd, "GET / HT", 0.4).substr(9, 3), "408");
+	close(fd);
+	EXPECT_EQ(s.rejected, (std::vector<uint16_t>{431, 413, 408}));
+}
+
+TEST(Server, SaysWhenACallerLeaves)
+{
+	Server s;
+	int fd = s.connect();
+
+	s.answer = false;
+	s.exchange(fd, "GET /1 HTTP/1.1\r\nHost: x\r\n\r\n");
+	EXPECT_EQ(s.gone, 0);
+	close(fd);
+	s.turn(0.02);
+	EXPECT_EQ(s.gone, 1);
+	EXPECT_EQ(s.server.conns_n, 0u);
+}
+
+TEST(Server, CutsAStreamSoThatItDoesNotLookComplete)
+{
+	Server s;
+	int fd = s.connect();
+
+	s.answer = false;
+	s.exchange(fd, "GET /1 HTTP/1.1\r\nHost: x\r\n\r\n");
+	h1_stream_start(s.waiting, 200, NULL);
+	h1_stream_piece(s.waiting, "abc", 3);
+	h1_stream_cut(s.waiting);
+	s.turn(0.02);
+	char p[1000];
+	ssize_t n = recv(fd, p, sizeof(p), 0);
+	std::string got(p, n > 0 ? (size_t)n : 0);
+	EXPECT_NE(got.find("3\r\nabc\r\n"), std::string::npos);
+	EXPECT_EQ(got.find("0\r\n\r\n"), std::string::npos);
+	EXPECT_EQ(recv(fd, p, sizeof(p), 0), 0);
+	close(fd);
+}
+
+TEST(Server, BoundsTheBytesOfRequestsThatAreBeingRead)
+{
+	Server s;
+	std::vector<int> fds;
+	int refused = 0;
+
+	s.limits.idle_timeout_ms = 60000;
+	s.limits.body_max_bytes = 100000;
+	s.server.buffered_max_bytes = 50000;
+	for (int i = 0; i < 10; i++) {
+		fds.push_back(s.connect());
+		std::string got =
+			s.exchange(fds.back(), "POST / HTTP/1.1\r\nHost: x\r\n"
+					       "Content-Length: 90000\r\n\r\n" +
+						       std::string(9000, 'a'));
+		refused += got.find(" 503 ") != std::string::npos;
+		EXPECT_LE(s.server.buffered_bytes, 50000u);
+	}
+	EXPECT_EQ(refused, 5);
+	for (int fd : fds)
+		close(fd);
+	s.turn(0.02);
+	EXPECT_EQ(s.server.buffered_bytes, 0u);
+}
+
+/* An endpoint whose bytes the test writes, and a client on the same loop. */
+struct Client {
+	struct ev_loop *loop = ev_loop_new(0);
+	struct h1_client client;
+	int listener;
+	std::vector<std::string> ids;
+	std::string body;
+	std::string skip;
+	int ended = -1;
+	std::string reason;
+	struct h1_exchange x = {};
+
+	static enum h1_verdict on_head(void *ctx, const struct h1_head *h)
+	{
+		Client *c = (Client *)ctx;
+		const char *id = h1_field(h, "Id");
+
+		c->ids.push_back(id ? id : "");
+		return id && c->skip == id ? H1_SKIP : H1_TAKE;
+	}
+	static void on_body(void *ctx, const void *p, size_t n)
+	{
+		((Client *)ctx)->body.append((const char *)p, n);
+	}
+	static void on_end(void *ctx, enum h1_end end, const char *reason)
+	{
+		((Client *)ctx)->ended = end;
+		((Client *)ctx)->reason = reason;
+	}
+	struct h1_exchange_handlers handlers = {on_head, on_body, on_end};
+
+	Client()
+	{
+		struct sockaddr_in a = loopback(0);
+
+		h1_client_init(&client, loop, 0.2, 5);
+		listener = socket(AF_INET, SOCK_STREAM, 0);
+		bind(listener, (struct sockaddr *)&a, sizeof(a));
+		listen(listener, 10);
+	}
+	~Client()
+	{
+		h1_client_finish(&client);
+		ev_loop_destroy(loop);
+		close(listener);
+	}
+	void turn(double s)
+	{
+		ev_timer t;
+
+		ev_timer_init(
+			&t,
+			[](struct ev_loop *l, ev_timer *, int) {
+				ev_break(l, EVBREAK_ALL);
+			},
+			s, 0.);
+		ev_timer_start(loop, &t);
+		ev_run(loop, 0);
+	}
+	void start()
+	{
+		struct sockaddr_in a = loopback(port_of(listener));
+
+		ended = -1;
+		body.clear();
+		ASSERT_EQ(h1_exchange_start(&client, &x, &a, "GET /\r\n", 7,
+					    &handlers, this),
+			  0);
+		turn(0.02);
+	}
+	int accept_one()
+	{
+		int fd = accept(listener, NULL, NULL);
+		char p[100];
+
+		EXPECT_GT(recv(fd, p, sizeof(p), 0), 0);
+		return fd;
+	}
+	void give(int fd, const std::string &s)
+	{
+		send(fd, s.data(), s.size(), MSG_NOSIGNAL);
+		turn(0.02);
+	}
+};
+
+TEST(Client, KeepsAConnectionAfterAWholeAnswer)
+{
+	Client c;
+
+	c.start();
+	int fd = c.accept_one();
+	c.give(fd, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+	EXPECT_EQ(c.ended, H1_WHOLE);
+	EXPECT_EQ(c.body, "ok");
+	c.start();
+	c.give(fd, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx");
+	EXPECT_EQ(c.ended, H1_WHOLE);
+	EXPECT_EQ(c.client.connects, 1u);
+	close(fd);
+}
+
+TEST(Client, DropsAConnectionAfterExtraBytes)
+{
+	Client c;
+
+	c.start();
+	int fd = c.accept_one();
+	c.give(fd, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok and more");
+	EXPECT_EQ(c.ended, H1_WHOLE);
+	EXPECT_EQ(c.body, "ok");
+	EXPECT_EQ(c.client.links_n, 0u);
+	close(fd);
+}
+
+TEST(Client, SkipsTheAnswerOfAnotherRequest)
+{
+	Client c;
+
+	c.skip = "old";
+	c.start();
+	int fd = c.accept_one();
+	c.give(fd,
+	       "HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 3\r\n\r\nold");
+	EXPECT_EQ(c.ended, -1);
+	c.give(fd,
+	       "HTTP/1.1 200 OK\r\nId: new\r\nContent-Length: 3\r\n\r\nnew");
+	EXPECT_EQ(c.ended, H1_WHOLE);
+	EXPECT_EQ(c.body, "new");
+	close(fd);
+}
+
+TEST(Client, TellsAnEndByCloseFromABrokenAnswer)
+{
+	struct linger reset = {1, 0};
+	Client c;
+
+	c.start();
+	int fd = c.accept_one();
+	c.give(fd, "HTTP/1.1 200 OK\r\n\r\nall");
+	close(fd);
+	c.turn(0.02);
+	EXPECT_EQ(c.ended, H1_WHOLE);
+	c.start();
+	fd = c.accept_one();
+	c.give(fd, "HTTP/1.1 200 OK\r\n\r\nhal");
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+	close(fd);
+	c.turn(0.02);
+	EXPECT_EQ(c.ended, H1_CUT);
+	c.start();
+	fd = c.accept_one();
+	c.give(fd, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhal");
+	close(fd);
+	c.turn(0.02);
+	EXPECT_EQ(c.ended, H1_CUT);
+}
+
+TEST(Client, SaysWhetherAnythingWasSent)
+{
+	Client c;
+
+	c.start();
+	int fd = c.accept_one();
+	EXPECT_TRUE(h1_exchange_sent(&c.x));
+	close(fd);
+	c.turn(0.02);
+	EXPECT_EQ(c.ended, H1_NO_ANSWER);
+	close(c.listener);
+	c.listener = socket(AF_INET, SOCK_STREAM, 0);
+	struct sockaddr_in a = loopback(1);
+	ASSERT_EQ(h1_exchange_start(&c.client, &c.x, &a, "x", 1, &c.handlers,
+				    &c),
+		  0);
+	c.turn(0.05);
+	EXPECT_EQ(c.ended, H1_NOT_SENT);
+}
+
+TEST(Client, ClosesTheConnectionOfACanceledExchange)
+{
+	Client c;
+	char p[100];
+
+	c.start();
+	int fd = c.accept_one();
+	h1_exchange_cancel(&c.x);
+	EXPECT_EQ(recv(fd, p, sizeof(p), 0), 0);
+	EXPECT_EQ(c.ended, -1);
+	close(fd);
+}
+
+TEST(Client, RefusesBytesThatAreNoAnswer)
+{
+	Client c;
+
+	c.start();
+	int fd = c.accept_one();
+	c.give(fd, "\x01\x02garbage\r\n\r\n");
+	EXPECT_EQ(c.ended, H1_NO_ANSWER);
+	close(fd);
+}
--- a/pkg/share/share.c
+++ b/pkg/share/share.c
@@ -86,7 +86,6 @@
 		if (!a->heard)
 			return -ENOMEM;
 		strncpy(a->name, name, sizeof(a->name) - 1);
-		a->level = burst;
 		a->level_us = now_us;
 		s->n_accounts++;
 	}
--- a/pkg/share/share.h
+++ b/pkg/share/share.h
@@ -44,7 +44,10 @@
 
 int share_init(struct share *s);
 void share_finish(struct share *s);
-/* Sets the limits of an account; a new one starts with a full bucket. */
+/*
+ * Sets the limits of an account. A new one starts with an empty bucket: a host
+ * that starts does not know what others have let through.
+ */
 int share_account_set(struct share *s, const char *name, double rate_per_s,
 		      double burst, int64_t now_us);
 /* Takes an amount if the account is within its limit. */
--- /dev/null
+++ b/pkg/share/test/share_test.cc
@@ -0,0 +1,202 @@
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <random>
+#include <vector>
+
+extern "C" {
+#include "share.h"
+}
+
+static const int64_t S = 1000000;
+
+struct Host {
+	std::unique_ptr<struct share> s{new struct share};
+
+	Host()
+	{
+		share_init(s.get());
+	}
+	~Host()
+	{
+		share_finish(s.get());
+	}
+};
+
+TEST(Share, OfOneHostIsATokenBucket)
+{
+	Host h;
+
+	share_account_set(h.s.get(), "a", 10, 20, -3 * S);
+	EXPECT_TRUE(share_spend(h.s.get(), "a", 20, 0));
+	EXPECT_FALSE(share_spend(h.s.get(), "a", 1, 0));
+	EXPECT_NEAR(share_wait_s(h.s.get(), "a", 5, 0), 0.5, 1e-9);
+	EXPECT_TRUE(share_spend(h.s.get(), "a", 5, S / 2));
+	EXPECT_TRUE(share_spend(h.s.get(), "unknown", 1e9, 0));
+}
+
+TEST(Share, LetsAnAmountOverTheBurstThroughWhenFull)
+{
+	Host h;
+
+	share_account_set(h.s.get(), "a", 10, 20, -3 * S);
+	EXPECT_TRUE(share_spend(h.s.get(), "a", 50, 0));
+	EXPECT_FALSE(share_spend(h.s.get(), "a", 1, 3 * S - 1));
+	EXPECT_TRUE(share_spend(h.s.get(), "a", 1, 4 * S));
+}
+
+/*
+ * Hosts that all push as hard as they can, with messages lost, hosts cut off and
+ * started anew. Over any window the sum stays within rate, burst and what may be
+ * on its way; without faults the whole rate is used.
+ */
+struct World {
+	static constexpr int N = 8;
+	static constexpr double RATE = 1000, BURST = 1000, COST = 10;
+	std::vector<std::unique_ptr<Host>> host;
+	std::vector<uint64_t> boot;
+	std::vector<std::pair<int64_t, double>> spent;
+	std::mt19937_64 random;
+	int64_t now_us = 0;
+
+	explicit World(uint64_t seed) : random(seed)
+	{
+		for (int i = 0; i < N; i++) {
+			host.emplace_back(new Host);
+			boot.push_back(1);
+			share_account_set(host[i]->s.get(), "a", RATE, BURST,
+					  0);
+		}
+		/* The store names the hosts before traffic starts. */
+		for (int i = 0; i < N; i++)
+			tell(i, [](int, int) { return true; });
+	}
+	template <typename Reaches> void tell(int from, Reaches reaches)
+	{
+		struct share *s = host[from]->s.get();
+
+		for (int to = 0; to < N; to++) {
+			char name[8];
+			int row;
+
+			if (to == from || !reaches(from, to))
+				continue;
+			snprintf(name, sizeof(name), "h%d", from);
+			row = share_host_heard(host[to]->s.get(), name,
+					       boot[from], now_us);
+			share_heard(host[to]->s.get(), row, "a",
+				    s->account[0].spent, now_us);
+		}
+	}
+	/* Runs for some time; each host asks 100 times its part. */
+	template <typename Reaches> void run(int64_t for_us, Reaches reaches)
+	{
+		int64_t end_us = now_us + for_us;
+
+		for (; now_us < end_us; now_us += 10000) {
+			for (int i = 0; i < N; i++)
+				for (int k = 0; k < 10; k++)
+					if (share_spend(host[i]->s.get(), "a",
+							COST, now_us))
+						spent.push_back({now_us, COST});
+			for (int i = 0; i < N; i++)
+				if (now_us / 10000 % 20 == i)
+					tell(i, reaches);
+		}
+	}
+	void restart(int i)
+	{
+		host[i].reset(new Host);
+		boot[i]++;
+		share_account_set(host[i]->s.get(), "a", RATE, BURST, now_us);
+	}
+	double most_in(int64_t window_us)
+	{
+		double sum = 0, most = 0;
+		size_t first = 0;
+
+		for (auto &x : spent) {
+			sum += x.second;
+			while (spent[first].first <= x.first - window_us)
+				sum -= spent[first++].second;
+			most = std::max(most, sum);
+		}
+		return most;
+	}
+};
+
+TEST(Share, OfAllHostsIsTheLimitWithoutFaults)
+{
+	World w(1);
+
+	w.run(20 * S, [](int, int) { return true; });
+	EXPECT_LE(w.most_in(8 * S), 8 * World::RATE + 8 * World::BURST);
+	w.spent.erase(w.spent.begin(),
+		      w.spent.begin() + (long)w.spent.size() / 2);
+	EXPECT_LE(w.most_in(8 * S), 8 * World::RATE * 1.1 + World::BURST);
+	EXPECT_GE(w.most_in(8 * S), 8 * World::RATE * 0.9);
+}
+
+TEST(Share, HoldsWhileHostsAreCutOffFromEachOther)
+{
+	for (uint64_t seed = 1; seed <= 20; seed++) {
+		World w(seed);
+		std::mt19937_64 random(seed);
+		size_t start;
+
+		w.run(10 * S, [](int, int) { return true; });
+		start = w.spent.size();
+		uint64_t side = random();
+		w.run(10 * S, [&](int a, int b) {
+			return (side >> a & 1) == (side >> b & 1) &&
+			       random() % 10 != 0;
+		});
+		w.spent.erase(w.spent.begin(), w.spent.begin() + (long)start);
+		/* A second passes before silence shows: both sides spend. */
+		EXPECT_LE(w.most_in(8 * S), 8 * World::RATE * 1.1 +
+						    World::BURST +
+						    2 * World::RATE)
+			<< "seed " << seed;
+	}
+}
+
+TEST(Share, CountsAHostThatStartsAnew)
+{
+	World w(3);
+
+	w.run(10 * S, [](int, int) { return true; });
+	size_t start = w.spent.size();
+	w.restart(2);
+	w.run(10 * S, [](int, int) { return true; });
+	w.spent.erase(w.spent.begin(), w.spent.begin() + (long)start);
+	EXPECT_LE(w.most_in(8 * S), 8 * World::RATE * 1.1 + 2 * World::BURST);
+}
+
+TEST(Budget, BoundsSecondSendsOfAllHosts)
+{
+	static struct share_budgets b[8];
+	int64_t now_us = 0;
+	double most = 0;
+	std::vector<int64_t> sends;
+
+	for (auto &x : b) {
+		x.ratio = 0.2;
+		x.slack = 56;
+		x.window_s = 10;
+	}
+	/* One request a second and host, and every chance taken. */
+	for (; now_us < 60 * S; now_us += 100000)
+		for (auto &x : b) {
+			if (now_us % S == 0)
+				share_budget_earn(&x, "s", 8, now_us);
+			while (share_budget_spend(&x, "s", 8, now_us))
+				sends.push_back(now_us);
+		}
+	for (size_t i = 0, first = 0; i < sends.size(); i++) {
+		while (sends[first] <= sends[i] - 10 * S)
+			first++;
+		most = std::max(most, (double)(i - first + 1));
+	}
+	EXPECT_LE(most, 0.2 * 80 + 56);
+	EXPECT_GE(most, 20) << "some are allowed";
+}
--- a/pkg/wire/fig_msg.x
+++ b/pkg/wire/fig_msg.x
@@ -187,12 +187,18 @@
 	unsigned int prompt_tokens;
 };
 
+enum fig_following {
+	FIG_FOLLOWS = 0, /* reads the store's streams itself */
+	FIG_TURNED_AWAY = 1,
+	FIG_LEAVES_IT = 2 /* to other hosts of its domain */
+};
+
 /* Once an interval to all hosts, over UDP; no reply. */
 struct fig_share {
 	fig_name domain;
 	fig_name addr;
 	unsigned hyper upto[FIG_TOPICS]; /* records of the store that it holds */
-	unsigned int store_is_silent;
+	unsigned int following; /* enum fig_following */
 	fig_spent spent<FIG_SPENT_MAX>;
 	fig_load load<FIG_LOADS_MAX>;
 };
--- a/pkg/wire/gen/fig_msg.h
+++ b/pkg/wire/gen/fig_msg.h
@@ -217,11 +217,18 @@
 };
 typedef struct fig_load fig_load;
 
+enum fig_following {
+	FIG_FOLLOWS = 0,
+	FIG_TURNED_AWAY = 1,
+	FIG_LEAVES_IT = 2,
+};
+typedef enum fig_following fig_following;
+
 struct fig_share {
 	fig_name domain;
 	fig_name addr;
 	u_quad_t upto[FIG_TOPICS];
-	u_int store_is_silent;
+	u_int following;
 	struct {
 		u_int spent_len;
 		fig_spent *spent_val;
@@ -352,6 +359,7 @@
 extern  bool_t xdr_fig_quota_grant (XDR *, fig_quota_grant*);
 extern  bool_t xdr_fig_spent (XDR *, fig_spent*);
 extern  bool_t xdr_fig_load (XDR *, fig_load*);
+extern  bool_t xdr_fig_following (XDR *, fig_following*);
 extern  bool_t xdr_fig_share (XDR *, fig_share*);
 extern  bool_t xdr_fig_records_get (XDR *, fig_records_get*);
 extern  bool_t xdr_fig_record (XDR *, fig_record*);
@@ -385,6 +393,7 @@
 extern bool_t xdr_fig_quota_grant ();
 extern bool_t xdr_fig_spent ();
 extern bool_t xdr_fig_load ();
+extern bool_t xdr_fig_following ();
 extern bool_t xdr_fig_share ();
 extern bool_t xdr_fig_records_get ();
 extern bool_t xdr_fig_record ();
--- a/pkg/wire/gen/fig_msg_xdr.c
+++ b/pkg/wire/gen/fig_msg_xdr.c
@@ -450,6 +450,16 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fig_following (XDR *xdrs, fig_following *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fig_share (XDR *xdrs, fig_share *objp)
 {
@@ -463,7 +473,7 @@
 	 if (!xdr_vector (xdrs, (char *)objp->upto, FIG_TOPICS,
 		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->store_is_silent))
+	 if (!xdr_u_int (xdrs, &objp->following))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->spent.spent_val, (u_int *) &objp->spent.spent_len, FIG_SPENT_MAX,
 		sizeof (fig_spent), (xdrproc_t) xdr_fig_spent))
