--- a/cmd/figbend/gateway/pools.c
+++ b/cmd/figbend/gateway/pools.c
@@ -37,6 +37,8 @@
 /* Runs at an endpoint are at different points, so that they do not take their
  * whole output's memory at once; more than this part of it stands idle. */
 #define GROWTH_SHARE 0.35
+/* A reservation asks for this part of it: runs that are there grow meanwhile. */
+#define HOLD_SHARE 0.35
 /* Of outputs, half are longer than the caller's estimate. */
 #define LIKELY_FACTOR 1.3
 
@@ -44,18 +46,20 @@
 static void ask_prefill(struct run *r);
 static void ask_decode(struct run *r);
 
-/* Memory that the request will take at its endpoint. */
-static uint32_t need_of(const struct run *r)
+/* Memory for the prompt and a part of the likely output, in whole blocks. */
+static uint32_t tokens_with(const struct run *r, double output_part)
 {
 	const struct call_prompt *p = &r->call.prompt;
-	uint32_t out = p->output_max_tokens;
+	uint32_t most = r->service->engine.kv_tokens;
+	double out = p->output_max_tokens;
 	double likely = p->output_likely_tokens * LIKELY_FACTOR;
+	uint32_t n;
 
 	if (likely > 0 && likely < out)
-		out = (uint32_t)likely;
-	return (p->prompt_tokens + (uint32_t)(out * GROWTH_SHARE)) /
-		       BLOCK_TOKENS * BLOCK_TOKENS +
-	       BLOCK_TOKENS;
+		out = likely;
+	n = p->prompt_tokens + (uint32_t)(out * output_part);
+	n = n / BLOCK_TOKENS * BLOCK_TOKENS + BLOCK_TOKENS;
+	return most && n > most ? most : n;
 }
 
 static void target_of(const struct fleet_endpoint *e, struct adapter_target *t)
@@ -180,7 +184,7 @@
 	uint32_t ttl_ms = r->service->engine.hold_max_ms;
 
 	target_of(r->endpoint, &t);
-	adapter_write_hold(&request, &t, r->need_tokens,
+	adapter_write_hold(&request, &t, tokens_with(r, HOLD_SHARE),
 			   ttl_ms < HOLD_MS ? ttl_ms : HOLD_MS);
 	r->step = RUN_HOLD;
 	r->sent_us = gateway_now_us(r->g);
@@ -486,7 +490,7 @@
 	struct fleet_want want = {
 		.service = r->service->name,
 		.stage = FLEET_DECODE,
-		.tokens = need_of(r),
+		.tokens = tokens_with(r, GROWTH_SHARE),
 		.total_tokens = r->service->engine.kv_tokens,
 		.cold_per_s = r->service->cold_per_s,
 		.n_not_on = r->n_tried,
@@ -495,8 +499,6 @@
 	enum fleet_none why;
 	struct fleet_endpoint *e;
 
-	if (want.tokens > want.total_tokens && want.total_tokens)
-		want.tokens = want.total_tokens;
 	if (is_late(r, now_us))
 		want.reserve_tokens =
 			(uint32_t)(LATE_RESERVE * want.total_tokens);
--- a/cmd/figbend/gateway/run.c
+++ b/cmd/figbend/gateway/run.c
@@ -106,7 +106,8 @@
 	logline(LOG_INFO, "request_end",
 		"request=%s outcome=%s status=%u why=\"%s\" step=%s route=%s "
 		"service=%s account=%s endpoint=%s took_ms=%lld left_ms=%lld "
-		"sends=%u ran=%u resumes=%u events=%llu gap_ms=%lld "
+		"sends=%u ran=%u resumes=%u events=%llu gap_ms=%lld prompt=%u "
+		"out_max=%u out_likely=%u "
 		"config=%lld",
 		r->call.id, outcome, status, reason, step_names[r->step],
 		r->route->name, r->service ? r->service->name : "-",
@@ -115,6 +116,8 @@
 		(long long)(now_us - r->read_us) / 1000,
 		(long long)run_left_us(r) / 1000, r->sends, r->ran, r->resumes,
 		(unsigned long long)r->events.n, (long long)r->gap_us / 1000,
+		r->call.prompt.prompt_tokens, r->call.prompt.output_max_tokens,
+		r->call.prompt.output_likely_tokens,
 		(long long)r->directory->version);
 }
 
