--- a/cmd/figbend/gateway/beats.c
+++ b/cmd/figbend/gateway/beats.c
@@ -391,13 +391,19 @@
 	send_beats(g, true);
 }
 
+/* See gateway.h. */
+double beats_interval_s(const struct gateway *g)
+{
+	double s = BEAT_PER_HOST_S * share_hosts(&g->share);
+
+	return s > BEAT_MIN_S ? s : BEAT_MIN_S;
+}
+
 static void on_beat(struct ev_loop *loop, ev_timer *w, int events)
 {
 	struct gateway *g = w->data;
-	double next_s = BEAT_PER_HOST_S * share_hosts(&g->share);
+	double next_s = beats_interval_s(g);
 
-	if (next_s < BEAT_MIN_S)
-		next_s = BEAT_MIN_S;
 	g->share.silent_us = (int64_t)(SILENT_BEATS * next_s * 1e6);
 	forget_silent(g);
 	send_beats(g, false);
--- a/cmd/figbend/gateway/gateway.h
+++ b/cmd/figbend/gateway/gateway.h
@@ -140,6 +140,8 @@
 uint32_t beats_followers(const struct gateway *g);
 /* Tells whether enough others of the domain read the streams. */
 bool beats_may_leave_it(const struct gateway *g);
+/* Between two messages of a host. */
+double beats_interval_s(const struct gateway *g);
 /* Tells the hosts of the domain at once. */
 void beats_now(struct gateway *g);
 void beats_host_gone(struct gateway *g, const char *name);
--- a/cmd/figbend/gateway/pools.c
+++ b/cmd/figbend/gateway/pools.c
@@ -37,11 +37,16 @@
 /* Runs at an endpoint are at different points, so that they do not take their
  * whole output's memory at once; more than this part of it stands idle. */
 #define GROWTH_SHARE 0.35
-/* A reservation asks for this part of it: runs that are there grow meanwhile. */
-#define HOLD_SHARE 0.35
+/* A reservation asks for a part of it too: runs that are there grow meanwhile.
+ * What hosts say of their runs accounts for that if it is fresh. */
+#define HOLD_FRESH_S 0.2
+#define HOLD_FRESH_SHARE 0.35
+#define HOLD_OLD_S 0.6
+#define HOLD_OLD_SHARE 1.0
 /* Of outputs, half are longer than the caller's estimate. */
 #define LIKELY_FACTOR 1.3
 
+static double hold_share(const struct gateway *g);
 static void ask_hold(struct run *r);
 static void ask_prefill(struct run *r);
 static void ask_decode(struct run *r);
@@ -184,7 +189,7 @@
 	uint32_t ttl_ms = r->service->engine.hold_max_ms;
 
 	target_of(r->endpoint, &t);
-	adapter_write_hold(&request, &t, tokens_with(r, HOLD_SHARE),
+	adapter_write_hold(&request, &t, tokens_with(r, hold_share(r->g)),
 			   ttl_ms < HOLD_MS ? ttl_ms : HOLD_MS);
 	r->step = RUN_HOLD;
 	r->sent_us = gateway_now_us(r->g);
@@ -479,8 +484,24 @@
 /* Tells whether the first event can no longer be in time. */
 static bool is_late(const struct run *r, int64_t now_us)
 {
-	return !r->started && now_us - r->read_us + FIRST_EVENT_US >
-				      r->route->target_ms * 1000LL;
+	if (r->started)
+		return false;
+	return now_us - r->read_us + FIRST_EVENT_US >
+	       r->route->target_ms * 1000LL;
+}
+
+/* What a reservation covers of the likely output: more, the older it is what
+ * other hosts say that they run. */
+static double hold_share(const struct gateway *g)
+{
+	double age = (beats_interval_s(g) - HOLD_FRESH_S) /
+		     (HOLD_OLD_S - HOLD_FRESH_S);
+
+	if (age < 0)
+		age = 0;
+	if (age > 1)
+		age = 1;
+	return HOLD_FRESH_SHARE + (HOLD_OLD_SHARE - HOLD_FRESH_SHARE) * age;
 }
 
 /* Finds a decode endpoint with room, or waits for one. */
