--- a/cmd/figbend/gateway/follow.c
+++ b/cmd/figbend/gateway/follow.c
@@ -257,7 +257,7 @@
 	if (ms > WAIT_MAX_MS)
 		ms = WAIT_MAX_MS;
 	return WAIT_MIN_MS +
-	       (uint32_t)(gateway_random(f->g) % (2 * (ms - WAIT_MIN_MS)));
+	       (uint32_t)(gateway_random(f->g) % (2ULL * (ms - WAIT_MIN_MS)));
 }
 
 /* When the next call comes after one that was answered. */
--- a/cmd/figbend/gateway/plain.c
+++ b/cmd/figbend/gateway/plain.c
@@ -16,7 +16,7 @@
  * targets is given up. */
 #define PATIENCE_TARGETS 3
 /* Most of an endpoint's answer that is kept until it is whole. */
-#define ANSWER_MAX_BYTES (8 * 1024 * 1024)
+#define ANSWER_MAX_BYTES 8388608
 
 static void failed(struct run *r, enum fleet_outcome outcome, bool may_have_run,
 		   const char *reason);
--- a/pkg/directory/directory.c
+++ b/pkg/directory/directory.c
@@ -103,7 +103,7 @@
 
 	if (!*key || strlen(key) >= sizeof(wanted.key))
 		return NULL;
-	strcpy(wanted.key, key);
+	memcpy(wanted.key, key, strlen(key) + 1);
 	k = bsearch(&wanted, d->key, d->n_keys, sizeof(*k), compare_keys);
 	return k ? &d->account[k->account] : NULL;
 }
--- a/pkg/h1/head.c
+++ b/pkg/h1/head.c
@@ -197,9 +197,12 @@
 /* Reads "HTTP/1.x" at the start of s. Returns 0 or -EBADMSG. */
 static int parse_version(struct h1_head *h, const char *s)
 {
-	if (strncmp(s, "HTTP/1.", 7) || (s[7] != '0' && s[7] != '1'))
+	if (strncmp(s, "HTTP/1.0", 8) == 0)
+		h->minor = 0;
+	else if (strncmp(s, "HTTP/1.1", 8) == 0)
+		h->minor = 1;
+	else
 		return -EBADMSG;
-	h->minor = (uint8_t)(s[7] - '0');
 	return 0;
 }
 
@@ -267,13 +270,15 @@
 
 static int parse_status_line(struct h1_head *h, const char *line)
 {
-	if (strlen(line) < 12 || parse_version(h, line) < 0 || line[8] != ' ')
+	char *end;
+
+	if (strlen(line) < 12 || parse_version(h, line) < 0 || line[8] != ' ' ||
+	    line[9] < '1' || line[9] > '5')
 		return -EBADMSG;
-	if (strspn(line + 9, "0123456789") != 3 ||
-	    (line[12] && line[12] != ' '))
+	h->status = (uint16_t)strtoul(line + 9, &end, 10);
+	if (end != line + 12 || (*end && *end != ' '))
 		return -EBADMSG;
-	h->status = (uint16_t)strtoul(line + 9, NULL, 10);
-	return h->status < 100 || h->status > 599 ? -EBADMSG : 0;
+	return 0;
 }
 
 /*
--- a/pkg/logline/logline.c
+++ b/pkg/logline/logline.c
@@ -115,12 +115,11 @@
 		fprintf(stderr, "%s\n", line);
 		return;
 	}
-	if (buffered + n + 1 > sizeof(buffer)) {
+	if (buffered + n + 2 > sizeof(buffer)) {
 		suppressed++;
 		return;
 	}
-	memcpy(buffer + buffered, line, n);
-	buffer[buffered + n] = '\n';
+	snprintf(buffer + buffered, sizeof(buffer) - buffered, "%s\n", line);
 	buffered += n + 1;
 }
 
--- a/pkg/record/record.c
+++ b/pkg/record/record.c
@@ -47,7 +47,7 @@
 	}
 	row = &r->row[r->n++];
 	memset(row, 0, sizeof(*row));
-	strcpy(row->key, key);
+	memcpy(row->key, key, strlen(key) + 1);
 	return row;
 }
 
