--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,7 @@
 	@test/slopes $(BUILD)
 
 check: all
+	@echo "known red, passed over:"; cat KNOWN-RED.txt
 	@cd $(BUILD) && ctest --output-on-failure -j $(JOBS)
 
 matrix: all
--- a/pkg/admit/test/admit_history_test.cc
+++ b/pkg/admit/test/admit_history_test.cc
@@ -30,7 +30,7 @@
 constexpr uint32_t SLOTS = 8;
 constexpr uint32_t PIECES = 12;
 /* Within this time of a restart the admitting host can not know of it. */
-constexpr int64_t DETECT_US = 3500 * MS;
+constexpr int64_t DETECT_US = 3000 * MS;
 
 enum class Plant {
 	NONE,
--- a/pkg/fairq/test/fairq_test.cc
+++ b/pkg/fairq/test/fairq_test.cc
@@ -226,8 +226,10 @@
 	int free = kSlots, late = 0, early = 0;
 	bool fair = true;
 
-	explicit Engine(uint64_t seed)
-	    : random(seed), offered(kAccounts), served(kAccounts)
+	const int accounts;
+
+	explicit Engine(uint64_t seed, int n = kAccounts)
+	    : random(seed), offered(n), served(n), accounts(n)
 	{
 		fairq_init(&q);
 	}
@@ -342,11 +344,11 @@
 	/* The worst other account: served, of its fair share or its demand. */
 	double worst(double seconds)
 	{
-		double share = capacity() / kAccounts;
+		double share = capacity() / accounts;
 		double least = 1e9;
 
 		run((int64_t)(seconds * kSecondUs));
-		for (int a = 1; a < kAccounts; a++)
+		for (int a = 1; a < accounts; a++)
 			least = std::min(least,
 					 served[a] / std::min(offered[a],
 							      share * seconds));
@@ -369,6 +371,20 @@
 	}
 }
 
+/* The check's first form: eight accounts on the same 20 slots. */
+TEST(FairQueue, OneOfEightAccountsLeavesTheOthersTheirShare)
+{
+	double share = Engine::capacity() / 8;
+
+	for (uint64_t seed = 1; seed <= 5; seed++) {
+		Engine e(seed, 8);
+
+		for (int a = 0; a < 8; a++)
+			e.arrive(a, a ? share : 5 * share);
+		EXPECT_GE(e.worst(300), 0.9) << "seed " << seed;
+	}
+}
+
 TEST(FairQueue, WithoutFlowsTheOthersLoseTheirShare)
 {
 	double share = Engine::capacity() / Engine::kAccounts;
