share: what a host let through before it was heard does not count

Cause: a host that was heard first, or again after its record had gone while it still ended its requests, had all that it let through since its start taken off every account's bucket.

--- a/pkg/share/share.c
+++ b/pkg/share/share.c
@@ -4,6 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Of a host that has not told what it let through; all bits set. */
+#define UNHEARD UINT64_MAX
 /* Until it is set otherwise. */
 #define SILENT_US 1000000LL
 
@@ -82,9 +84,10 @@
 			return -ENOSPC;
 		a = &s->account[s->n_accounts];
 		memset(a, 0, sizeof(*a));
-		a->heard = calloc(SHARE_HOSTS_MAX, sizeof(*a->heard));
+		a->heard = malloc(SHARE_HOSTS_MAX * sizeof(*a->heard));
 		if (!a->heard)
 			return -ENOMEM;
+		memset(a->heard, 0xff, SHARE_HOSTS_MAX * sizeof(*a->heard));
 		strncpy(a->name, name, sizeof(a->name) - 1);
 		a->level_us = now_us;
 		s->n_accounts++;
@@ -131,13 +134,16 @@
 	return a->level >= amount ? 0 : (amount - a->level) / a->rate_per_s;
 }
 
-/* A host that started anew counts from zero. */
-static void host_reset(struct share *s, int host)
+/*
+ * Sets how far a host was heard: from zero if it started anew, or UNHEARD, so
+ * that what it let through before this host knew of it does not count.
+ */
+static void host_reset(struct share *s, int host, uint64_t upto)
 {
 	uint32_t i;
 
 	for (i = 0; i < s->n_accounts; i++)
-		s->account[i].heard[host] = 0;
+		s->account[i].heard[host] = upto;
 }
 
 /* See share.h. */
@@ -159,8 +165,10 @@
 		return -ENOSPC;
 	if (i == s->n_hosts)
 		s->n_hosts++;
-	if (!s->host[i].name[0] || s->host[i].boot != boot)
-		host_reset(s, (int)i);
+	if (!s->host[i].name[0])
+		host_reset(s, (int)i, UNHEARD);
+	else if (s->host[i].boot != boot)
+		host_reset(s, (int)i, 0);
 	strncpy(s->host[i].name, name, sizeof(s->host[i].name) - 1);
 	s->host[i].boot = boot;
 	s->host[i].heard_us = now_us;
@@ -173,6 +181,8 @@
 {
 	struct share_account *a = find(s, account);
 
+	if (a && a->heard[host] == UNHEARD)
+		a->heard[host] = spent;
 	if (!a || spent <= a->heard[host])
 		return;
 	refill(s, a, now_us);
--- a/pkg/share/test/share_test.cc
+++ b/pkg/share/test/share_test.cc
@@ -172,6 +172,32 @@
 	EXPECT_LE(w.most_in(8 * S), 8 * World::RATE * 1.1 + 2 * World::BURST);
 }
 
+/* opole scale-out-and-term: 850 requests inside their limit were refused. */
+TEST(Share, DoesNotCountAgainWhatAHostLetThroughBefore)
+{
+	Host h;
+	int row;
+
+	share_account_set(h.s.get(), "a", 10, 20, -3 * S);
+	row = share_host_heard(h.s.get(), "other", 1, 0);
+	share_heard(h.s.get(), row, "a", 1000000, 0);
+	EXPECT_TRUE(share_spend(h.s.get(), "a", 20, 0)) << "heard first now";
+	share_host_gone(h.s.get(), "other");
+	row = share_host_heard(h.s.get(), "other", 1, 10 * S);
+	share_heard(h.s.get(), row, "a", 1000000, 10 * S);
+	EXPECT_TRUE(share_spend(h.s.get(), "a", 20, 10 * S)) << "heard again";
+	share_account_set(h.s.get(), "new", 10, 20, 10 * S);
+	share_heard(h.s.get(), row, "new", 1000000, 20 * S);
+	EXPECT_TRUE(share_spend(h.s.get(), "new", 20, 20 * S))
+		<< "the account is known first now";
+	share_heard(h.s.get(), row, "new", 1000020, 30 * S);
+	EXPECT_FALSE(share_spend(h.s.get(), "new", 20, 30 * S));
+	row = share_host_heard(h.s.get(), "other", 2, 40 * S);
+	share_heard(h.s.get(), row, "new", 20, 40 * S);
+	EXPECT_FALSE(share_spend(h.s.get(), "new", 20, 40 * S))
+		<< "started anew, it counts from zero";
+}
+
 TEST(Budget, BoundsSecondSendsOfAllHosts)
 {
 	static struct share_budgets b[8];
