share: what did not run is given back to its account

Cause: a request was charged when it came and stayed charged when it was refused for lack of memory, so that overload ate the limits too.

--- a/cmd/figbend/gateway/run.c
+++ b/cmd/figbend/gateway/run.c
@@ -121,6 +121,13 @@
 		(long long)r->directory->version);
 }
 
+/* Gives the charge of a request that did not run back to its account. */
+static void give_back(struct run *r)
+{
+	if (r->account)
+		share_return(&r->g->share, r->account->name, r->cost);
+}
+
 /* Refuses a request that no endpoint has run or will run. */
 void run_refuse(struct run *r, const char *reason)
 {
@@ -131,6 +138,7 @@
 		return;
 	}
 	log_end(r, "refused", 503, reason);
+	give_back(r);
 	stats_add(&r->g->stats, STATS_refused_full, 1);
 	snprintf(fields, sizeof(fields), "Retry-After: %g\r\n",
 		 r->service && r->service->engine.present
@@ -353,6 +361,11 @@
 	if (share_spend(&g->share, a->name, cost, gateway_now_us(g)))
 		return true;
 	wait_s = share_wait_s(&g->share, a->name, cost, gateway_now_us(g));
+	logline(LOG_INFO, "over_limit",
+		"request=%s account=%s cost=%.0f rate_per_s=%.0f burst=%.0f "
+		"wait_ms=%.0f hosts=%u config=%lld",
+		call->id, a->name, cost, a->rate_per_s, a->burst, wait_s * 1000,
+		g->fleet.hosts, (long long)g->directory->version);
 	snprintf(fields, sizeof(fields), "Retry-After: %.2f\r\n",
 		 wait_s > 0.05 ? wait_s : 0.05);
 	turn_away(g, c, call->id, 429, STATS_refused_limit, fields,
@@ -411,6 +424,7 @@
 	}
 	r->route = route;
 	r->account = account;
+	r->cost = account ? cost_of(call, account) : 0;
 	r->service = service ? directory_service(r->directory, service) : NULL;
 	set_limit(r);
 	if (!r->service) {
@@ -473,5 +487,7 @@
 		return;
 	stats_add(&g->stats, STATS_callers_gone, 1);
 	log_end(r, "caller_gone", r->status, "");
+	if (!may_have_run(r))
+		give_back(r);
 	run_free(r);
 }
--- a/cmd/figbend/gateway/run.h
+++ b/cmd/figbend/gateway/run.h
@@ -25,6 +25,7 @@
 	const struct directory_route *route;
 	const struct directory_account *account; /* NULL: none */
 	const struct directory_service *service;
+	double cost;	  /* that its account was charged */
 	int64_t read_us;  /* when its last byte was read */
 	int64_t limit_us; /* when its caller or route gives it up */
 	ev_timer limit;
--- a/pkg/share/share.c
+++ b/pkg/share/share.c
@@ -120,6 +120,18 @@
 	return true;
 }
 
+/* See share.h. */
+void share_return(struct share *s, const char *name, double amount)
+{
+	struct share_account *a = find(s, name);
+	uint64_t whole = (uint64_t)amount;
+
+	if (!a)
+		return;
+	a->level += amount;
+	a->spent -= whole < a->spent ? whole : a->spent;
+}
+
 /* See share.h. */
 double share_wait_s(struct share *s, const char *name, double amount,
 		    int64_t now_us)
@@ -183,10 +195,10 @@
 
 	if (a && a->heard[host] == UNHEARD)
 		a->heard[host] = spent;
-	if (!a || spent <= a->heard[host])
+	if (!a || spent == a->heard[host])
 		return;
 	refill(s, a, now_us);
-	a->level -= (double)(spent - a->heard[host]);
+	a->level -= (double)(int64_t)(spent - a->heard[host]);
 	a->heard[host] = spent;
 	if (a->level < -a->burst)
 		a->level = -a->burst;
--- a/pkg/share/share.h
+++ b/pkg/share/share.h
@@ -23,8 +23,8 @@
 	double burst;
 	double level;
 	int64_t level_us; /* when the level was right */
-	uint64_t spent;	  /* by this host since its start */
-	uint64_t *heard;  /* by each other host, as it said last */
+	uint64_t spent;	 /* by this host since its start, less what came back */
+	uint64_t *heard; /* by each other host, as it said last */
 };
 
 struct share_host {
@@ -53,6 +53,8 @@
 /* Takes an amount if the account is within its limit. */
 bool share_spend(struct share *s, const char *name, double amount,
 		 int64_t now_us);
+/* Gives back an amount that was taken for a request that did not run. */
+void share_return(struct share *s, const char *name, double amount);
 /* Seconds until the amount would be let through. */
 double share_wait_s(struct share *s, const char *name, double amount,
 		    int64_t now_us);
--- a/pkg/share/test/share_test.cc
+++ b/pkg/share/test/share_test.cc
@@ -198,6 +198,25 @@
 		<< "started anew, it counts from zero";
 }
 
+TEST(Share, GivesBackWhatDidNotRun)
+{
+	Host h, other;
+	int row;
+
+	share_account_set(h.s.get(), "a", 10, 20, -3 * S);
+	share_account_set(other.s.get(), "a", 10, 20, -3 * S);
+	row = share_host_heard(other.s.get(), "h", 1, 0);
+	share_heard(other.s.get(), row, "a", 0, 0);
+	EXPECT_TRUE(share_spend(h.s.get(), "a", 20, 0));
+	share_heard(other.s.get(), row, "a", h.s->account[0].spent, 0);
+	EXPECT_FALSE(share_spend(other.s.get(), "a", 20, 0));
+	share_return(h.s.get(), "a", 20);
+	EXPECT_TRUE(share_spend(h.s.get(), "a", 20, 0));
+	share_return(h.s.get(), "a", 20);
+	share_heard(other.s.get(), row, "a", h.s->account[0].spent, 0);
+	EXPECT_TRUE(share_spend(other.s.get(), "a", 20, 0));
+}
+
 TEST(Budget, BoundsSecondSendsOfAllHosts)
 {
 	static struct share_budgets b[8];
