--- a/cmd/figbend/gateway/gateway.c
+++ b/cmd/figbend/gateway/gateway.c
@@ -223,7 +223,6 @@
 	default_limits(&g->limits);
 	default_limits(&g->own_limits);
 	fleet_init(&g->fleet, s->domain, g->boot_us);
-	g->fleet.cold_over = s->cold_over;
 	g->budgets.ratio = s->retry_ratio;
 	g->budgets.slack = s->retry_slack;
 	g->budgets.window_s = s->retry_window_s;
--- a/cmd/figbend/gateway/pools.c
+++ b/cmd/figbend/gateway/pools.c
@@ -32,6 +32,8 @@
 /* A pause between events after which an endpoint is taken for dead; a stream
  * that can be resumed goes on elsewhere. */
 #define GAP_DEAD_US 1300000LL
+/* Of a stream, what its caller has not read; it is cut beyond. */
+#define UNREAD_MAX_BYTES 262144
 /* Memory goes by blocks; a stream may end in the middle of one. */
 #define BLOCK_TOKENS 16
 /* Runs at an endpoint are at different points, so that they do not take their
@@ -387,6 +389,10 @@
 	if (h1_buf_bytes(&out))
 		give_events(r, &out);
 	h1_buf_finish(&out);
+	if (h1_unread_bytes(r->conn) > UNREAD_MAX_BYTES) {
+		run_fail(r, 502, "caller does not read");
+		return;
+	}
 	if (count < 0) {
 		h1_exchange_cancel(&r->exchange);
 		decode_failed(r, FLEET_FAILED, true, "events out of order");
--- a/pkg/call/call.h
+++ b/pkg/call/call.h
@@ -13,7 +13,6 @@
 #define CALL_ID_BYTES 64
 #define CALL_NAME_BYTES 64
 #define CALL_KEY_BYTES 96
-#define CALL_PARTS_MAX 32
 
 enum call_kind {
 	CALL_REPEATABLE, /* may run more than once */
@@ -21,20 +20,11 @@
 	CALL_STREAM, /* a stream of events; once, unless it can be resumed */
 };
 
-/* A part of a prompt; equal parts in front are shared between prompts. */
-struct call_part {
-	uint64_t id_hash;
-	uint32_t tokens;
-};
-
 struct call_prompt {
 	bool present;
-	char model[CALL_NAME_BYTES];
 	uint32_t prompt_tokens;
 	uint32_t output_max_tokens;
 	uint32_t output_likely_tokens; /* the caller's estimate; 0: none */
-	struct call_part part[CALL_PARTS_MAX];
-	uint32_t n_parts;
 };
 
 /* What the head of a request says. Strings are copies. */
@@ -79,7 +69,6 @@
 	uint32_t running;
 	uint32_t waiting;
 	uint32_t slots;
-	uint32_t cold_ms;
 };
 
 #endif
--- a/pkg/directory/directory.h
+++ b/pkg/directory/directory.h
@@ -41,17 +41,12 @@
 /* What a service's model endpoints can do. */
 struct directory_engine {
 	bool present;
-	uint32_t slots;
 	uint32_t kv_tokens;
-	uint32_t kept_ms;     /* a prefill's result that nobody takes */
 	uint32_t hold_max_ms; /* 0: memory cannot be reserved */
 };
 
 struct directory_service {
 	char name[CALL_NAME_BYTES];
-	char health_path[256];
-	uint32_t connections;
-	uint32_t cold_ms;
 	double cold_per_s;
 	struct directory_engine engine;
 };
--- a/pkg/fleet/fleet.c
+++ b/pkg/fleet/fleet.c
@@ -20,7 +20,6 @@
 	TAILQ_INIT(&f->list);
 	strncpy(f->domain, domain, sizeof(f->domain) - 1);
 	f->hosts = 1;
-	f->cold_over = 1.;
 	f->random = seed * 2 + 1;
 }
 
--- a/pkg/fleet/fleet.h
+++ b/pkg/fleet/fleet.h
@@ -34,7 +34,6 @@
 	uint32_t slots;
 	uint32_t cold_ms;
 	int64_t born_ms; /* since the epoch; 0: not said */
-	int64_t orders;	 /* stage orders that it accepted */
 	bool leaving;
 };
 
@@ -91,7 +90,6 @@
 	uint32_t n_withdrawn;
 	char domain[CALL_NAME_BYTES]; /* of this host */
 	uint32_t hosts; /* that share what a cold endpoint bears */
-	double cold_over;
 	uint64_t random;
 };
 
@@ -101,8 +99,7 @@
 	enum fleet_stage stage;
 	uint32_t tokens;	 /* memory it will take; 0: none */
 	uint32_t reserve_tokens; /* that it leaves to others */
-	uint32_t prompt_tokens;
-	uint32_t total_tokens; /* memory of an endpoint */
+	uint32_t total_tokens;	 /* memory of an endpoint */
 	double cold_per_s;
 	const char *near;			/* preferred domain, or NULL */
 	const struct fleet_endpoint *not_on[4]; /* tried before */
--- a/pkg/h1/client.c
+++ b/pkg/h1/client.c
@@ -58,17 +58,13 @@
 
 static void watch(struct h1_link *k)
 {
-	int events = 0;
+	int events = EV_READ;
 
-	if (!k->paused)
-		events |= EV_READ;
 	if (!k->connected || h1_buf_bytes(&k->out))
 		events |= EV_WRITE;
 	if (ev_is_active(&k->io) && (k->io.events & 3) == events)
 		return;
 	ev_io_stop(k->client->loop, &k->io);
-	if (!events)
-		return;
 	ev_io_set(&k->io, k->fd, events);
 	ev_io_start(k->client->loop, &k->io);
 }
@@ -231,7 +227,6 @@
 		ended(k, n == 0);
 		return;
 	}
-	k->received_bytes += (uint64_t)n;
 	if (!k->exchange) {
 		/* Nothing was asked: these bytes belong to no request. */
 		link_free(k);
@@ -364,7 +359,6 @@
 {
 	struct h1_link *k = find_idle(c, addr);
 
-	x->fresh = !k;
 	if (!k)
 		k = link_open(c, addr);
 	if (!k)
@@ -378,8 +372,6 @@
 	x->link = k;
 	k->exchange = x;
 	k->sent_bytes = 0;
-	k->received_bytes = 0;
-	k->paused = false;
 	k->skipping = false;
 	watch(k);
 	if (k->connected)
@@ -397,15 +389,6 @@
 	x->link = NULL;
 }
 
-/* See h1.h. */
-void h1_exchange_pause(struct h1_exchange *x, bool pause)
-{
-	if (!x->link || x->link->paused == pause)
-		return;
-	x->link->paused = pause;
-	watch(x->link);
-}
-
 /* See h1.h. */
 bool h1_exchange_sent(const struct h1_exchange *x)
 {
@@ -447,18 +430,6 @@
 		link_free(LIST_FIRST(&c->links));
 }
 
-/* See h1.h. */
-void h1_client_forget(struct h1_client *c, const struct sockaddr_in *addr)
-{
-	struct h1_link *k, *next;
-
-	for (k = LIST_FIRST(&c->links); k; k = next) {
-		next = LIST_NEXT(k, entry);
-		if (!k->exchange && !k->dead && same_addr(&k->addr, addr))
-			link_free(k);
-	}
-}
-
 /* Reads "IP:PORT". Returns 0 or -EINVAL. */
 int h1_addr(const char *text, struct sockaddr_in *out)
 {
--- a/pkg/h1/h1.h
+++ b/pkg/h1/h1.h
@@ -111,7 +111,6 @@
 struct h1_request {
 	struct h1_head head;
 	struct h1_buf body;
-	double read_at; /* loop time of its last byte */
 };
 
 enum h1_conn_state {
@@ -176,6 +175,8 @@
 /* Closes connections on which no request is being read or answered. */
 void h1_server_close_idle(struct h1_server *s);
 
+/* Bytes of answers that the caller has not read yet. */
+size_t h1_unread_bytes(const struct h1_conn *c);
 /* Writes a whole answer; fields is NULL or lines that end with CRLF. */
 void h1_answer(struct h1_conn *c, uint16_t status, const char *fields,
 	       const void *body, size_t n);
@@ -217,7 +218,6 @@
 	const struct h1_exchange_handlers *handlers;
 	void *ctx;
 	bool no_body; /* a HEAD request: set before the start */
-	bool fresh;   /* on a connection of its own making */
 };
 
 LIST_HEAD(h1_links, h1_link);
@@ -234,13 +234,11 @@
 	struct h1_buf in;
 	struct h1_buf out;
 	uint64_t sent_bytes; /* of the exchange now on it */
-	uint64_t received_bytes;
 	struct h1_head head;
 	bool have_head;
 	bool skipping; /* the answer is of an earlier exchange */
 	bool calling;  /* a handler runs */
 	bool dead;     /* freed when the handler returns */
-	bool paused;
 	struct h1_body body;
 	struct h1_exchange *exchange; /* NULL: idle */
 	double idle_until;	      /* loop time */
@@ -271,13 +269,8 @@
 		      void *ctx);
 /* Ends the exchange and its connection; no handler is called. */
 void h1_exchange_cancel(struct h1_exchange *x);
-/* Stops and starts reading, for a caller that reads slowly. */
-void h1_exchange_pause(struct h1_exchange *x, bool pause);
 /* Tells whether a byte of the request went out. */
 bool h1_exchange_sent(const struct h1_exchange *x);
-/* Closes idle connections to the address. */
-void h1_client_forget(struct h1_client *c, const struct sockaddr_in *addr);
-
 int h1_addr(const char *text, struct sockaddr_in *out);
 
 #endif
--- a/pkg/h1/server.c
+++ b/pkg/h1/server.c
@@ -243,6 +243,12 @@
 		  0);
 }
 
+/* See h1.h. */
+size_t h1_unread_bytes(const struct h1_conn *c)
+{
+	return h1_buf_bytes(&c->out);
+}
+
 /* Takes the head off the input. Returns false if there is none yet. */
 static bool read_head(struct h1_conn *c)
 {
@@ -315,7 +321,6 @@
 		if (!read_body(c))
 			break;
 		c->state = H1_ANSWERING;
-		c->request.read_at = ev_now(c->server->loop);
 		ev_timer_stop(c->server->loop, &c->timer);
 		c->server->handlers->request(c->server->ctx, c);
 	}
--- a/pkg/setup/setup.c
+++ b/pkg/setup/setup.c
@@ -28,7 +28,6 @@
 static const struct row rows[] = {
 	{"host", ROW_NAME, AT(host), 0, 0},
 	{"domain", ROW_NAME, AT(domain), 0, 0},
-	{"region", ROW_NAME, AT(region), 0, 0},
 	{"callers_addr", ROW_ADDR, AT(callers_addr), 0, 0},
 	{"ready_addr", ROW_ADDR, AT(ready_addr), 0, 0},
 	{"metrics_addr", ROW_ADDR, AT(metrics_addr), 0, 0},
@@ -37,13 +36,10 @@
 	{"memory_mb", ROW_COUNT, AT(memory_mb), 32, 1e6},
 	{"descriptors", ROW_COUNT, AT(descriptors), 256, 1e7},
 	{"stop_s", ROW_RATIO, AT(stop_s), 0.5, 3600},
-	{"drain_ms", ROW_COUNT, AT(drain_ms), 100, 3.6e6},
-	{"config_ms", ROW_COUNT, AT(config_ms), 100, 3.6e6},
 	{"retry_ratio", ROW_RATIO, AT(retry_ratio), 0, 10},
 	{"retry_window_s", ROW_RATIO, AT(retry_window_s), 0.1, 3600},
 	{"retry_slack", ROW_RATIO, AT(retry_slack), 0, 1e6},
 	{"limit_slack", ROW_RATIO, AT(limit_slack), 0, 1e12},
-	{"cold_over", ROW_RATIO, AT(cold_over), 1, 100},
 };
 
 static void read_addr(struct jread *root, const char *key, char *out)
--- a/pkg/setup/setup.h
+++ b/pkg/setup/setup.h
@@ -16,7 +16,6 @@
 struct setup {
 	char host[SETUP_NAME_BYTES];
 	char domain[SETUP_NAME_BYTES];
-	char region[SETUP_NAME_BYTES];
 	char callers_addr[SETUP_ADDR_BYTES];
 	char ready_addr[SETUP_ADDR_BYTES];
 	char metrics_addr[SETUP_ADDR_BYTES];
@@ -26,14 +25,10 @@
 	uint32_t memory_mb;
 	uint32_t descriptors;
 	double stop_s; /* from SIGTERM to SIGKILL */
-	uint32_t
-		drain_ms; /* an endpoint still serves after it said it leaves */
-	uint32_t config_ms; /* in which a configuration is in force */
 	double retry_ratio;
 	double retry_window_s;
 	double retry_slack;
 	double limit_slack; /* by which accounts' limits may be exceeded */
-	double cold_over;
 };
 
 int setup_parse(struct setup *s, const char *text, size_t n, const char *name,
--- a/test/pools/deployment.py
+++ b/test/pools/deployment.py
@@ -24,15 +24,15 @@
         self.log = os.path.join(tmp, f"{self.name}.log")
         self.process = None
         settings = {
-            "host": self.name, "domain": domain, "region": "r",
+            "host": self.name, "domain": domain,
             "callers_addr": f"{self.ip}:{CALLERS}",
             "ready_addr": f"{self.ip}:{READY}",
             "metrics_addr": f"{self.ip}:{METRICS}",
             "peer_addr": f"{self.ip}:{PEER}", "store_addr": store_addr,
             "secret": SECRET, "memory_mb": 110, "descriptors": 4100,
-            "stop_s": 8, "drain_ms": 2000, "config_ms": 2000,
+            "stop_s": 8,
             "retry_ratio": 0.2, "retry_window_s": 10, "retry_slack": 56,
-            "limit_slack": 0, "cold_over": 1.5}
+            "limit_slack": 0}
         with open(self.path, "w") as f:
             json.dump(settings, f)
 
