--- a/pkg/h1/head.c
+++ b/pkg/h1/head.c
@@ -270,14 +270,19 @@
 
 static int parse_status_line(struct h1_head *h, const char *line)
 {
+	const char *text = line + strlen("HTTP/1.1 ");
+	unsigned long status;
 	char *end;
 
-	if (strlen(line) < 12 || parse_version(h, line) < 0 || line[8] != ' ' ||
-	    line[9] < '1' || line[9] > '5')
+	if (parse_version(h, line) < 0 ||
+	    strlen(line) < strlen("HTTP/1.1 200") ||
+	    strcspn(line, " ") != strlen("HTTP/1.1"))
 		return -EBADMSG;
-	h->status = (uint16_t)strtoul(line + 9, &end, 10);
-	if (end != line + 12 || (*end && *end != ' '))
+	status = strtoul(text, &end, 10);
+	if (end != text + 3 || (*end && *end != ' ') || status < 100 ||
+	    status > 599)
 		return -EBADMSG;
+	h->status = (uint16_t)status;
 	return 0;
 }
 
--- a/pkg/h1/test/h1_head_test.cc
+++ b/pkg/h1/test/h1_head_test.cc
@@ -133,6 +133,21 @@
 	}
 }
 
+TEST(AnswerHead, NeedsAProperStatusLine)
+{
+	for (const char *line :
+	     {"", "HTTP/1.1", "HTTP/1.1 ", "HTTP/1.1 20", "HTTP/1.1 2000 OK",
+	      "HTTP/1.1  20 OK", "HTTP/1.1 +20 OK", "HTTP/1.1 -99 OK",
+	      "HTTP/1.1 099 OK", "HTTP/1.1x200 OK", "HTTP/1.1 600 OK",
+	      "HTTP/2.0 200 OK"}) {
+		std::string s = std::string(line) + "\r\n\r\n";
+		struct h1_head h;
+
+		EXPECT_EQ(h1_parse_answer(&h, s.data(), s.size()), -EBADMSG)
+			<< line;
+	}
+}
+
 static std::string decode(const std::string &s, size_t step, int *error,
 			  bool *whole)
 {
