follow: hosts read a configuration from the store themselves

Ruled out: parsing (40 ms). Now a host that hears of news of the operators reads them from the store; endpoints' records still come from the hosts that read. A large answer may take its time as long as bytes come.

--- a/cmd/figbend/gateway/follow.c
+++ b/cmd/figbend/gateway/follow.c
@@ -12,7 +12,8 @@
  * without news; hosts tell each other how far they are, so that it shows as soon
  * as any host has news, and hosts' calls end at different times. So the more
  * hosts read, the longer a call may wait. In a domain two hosts read the streams
- * that change; the others get the records from them.
+ * that change; the others get the endpoints' records from them, and read the
+ * operators' stream when they hear of news.
  */
 
 #define WAIT_PER_FOLLOWER_MS 500
@@ -250,7 +251,7 @@
 {
 	uint32_t ms = WAIT_PER_FOLLOWER_MS * beats_followers(f->g);
 
-	if (f->failures)
+	if (f->failures || f->read_once)
 		return 0;
 	if (ms <= WAIT_MIN_MS)
 		return WAIT_MIN_MS;
@@ -379,6 +380,8 @@
 	struct follow *f = ctx;
 
 	h1_buf_add(&f->answer, p, n);
+	/* A large answer takes its time on a slow link. */
+	timer_set(f, CALL_TIMEOUT_S);
 }
 
 static void on_end(void *ctx, enum h1_end end, const char *reason)
@@ -412,6 +415,7 @@
 				   f->from, wait_ms);
 		timeout_s += wait_ms / 1000.;
 	}
+	f->read_once = false;
 	h1_buf_finish(&f->answer);
 	f->status = 0;
 	stats_add(&g->stats, STATS_store_calls, 1);
@@ -436,7 +440,7 @@
 	}
 	f->passive = f->topic != ADAPTER_HOSTS && !f->in_snapshot &&
 		     !f->failures && beats_may_leave_it(f->g);
-	if (f->passive)
+	if (f->passive && !f->read_once)
 		timer_set(f, PASSIVE_S);
 	else
 		call_now(f);
@@ -507,6 +511,15 @@
 		f->behind_us = 0;
 		return false;
 	}
+	if (f->passive && t == ADAPTER_OPERATORS) {
+		/* A configuration may be too large for a host's link to pass
+		 * on to all others; the store's is not. */
+		if (!f->exchange.link && !f->read_once) {
+			f->read_once = true;
+			timer_set(f, 0.);
+		}
+		return false;
+	}
 	if (f->passive)
 		return true;
 	if (!f->behind_us)
--- a/cmd/figbend/gateway/gateway.h
+++ b/cmd/figbend/gateway/gateway.h
@@ -34,7 +34,8 @@
 	struct h1_buf answer;
 	uint16_t status;
 	bool in_snapshot;
-	bool passive; /* other hosts of the domain read the stream */
+	bool read_once; /* another host has news: read without waiting */
+	bool passive;	/* other hosts of the domain read the stream */
 	char after[RECORD_KEY_BYTES];
 	uint64_t snapshot_end;
 	uint64_t from;	   /* that the call in progress asked for */
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -381,6 +381,34 @@
     assert (await d.ask("safe"))[1].status == 200
 
 
+async def test_two_hosts_of_a_domain_read_for_the_others(d):
+    """CONFIG, ogha-grown hunt-ec22-7: a large configuration came too late to
+    hosts that waited for it from another host's slow link."""
+    await small(d)
+    await asyncio.sleep(2)
+    before = [p.calls for p in d.ports]
+    await asyncio.sleep(3)
+    assert d.ports[2].calls - before[2] <= 1, "the third leaves it to them"
+    assert sum(p.calls for p in d.ports) - sum(before) >= 2
+    for n in range(1500):
+        d.routes.append(d.route(f"added{n}", "idempotent", "plain", 1))
+    d.configure()
+    await asyncio.sleep(1.5)
+    assert (await d.ask("added1499", host=2))[1].status == 200
+    assert d.ports[2].calls > before[2], "read from the store"
+    e = d.endpoints[0]
+    d.store.put_json("keyed.servers", e.name, e.entry("draining"))
+    await asyncio.sleep(1.5)
+    seen = len(e.seen)
+    for _ in range(10):
+        assert (await d.ask("safe", host=2))[1].status == 200
+    assert len(e.seen) == seen
+
+
+test_two_hosts_of_a_domain_read_for_the_others.hosts = 3
+test_two_hosts_of_a_domain_read_for_the_others.domains = ("a",)
+
+
 async def test_serves_metrics(d):
     await small(d)
     await d.ask("safe")
@@ -410,7 +438,8 @@
 
 async def run(binary, name, test):
     with tempfile.TemporaryDirectory() as tmp:
-        d = Deployment(binary, tmp)
+        d = Deployment(binary, tmp, getattr(test, "hosts", 2),
+                       getattr(test, "domains", ("a", "b")))
         try:
             await asyncio.wait_for(test(d), 60)
             return None
