follow: a call that was made since the news is not given up again

Ruled out: the store (others had the version). Now one call is renewed, without waiting, and left its time.

--- a/cmd/figbend/gateway/follow.c
+++ b/cmd/figbend/gateway/follow.c
@@ -389,6 +389,7 @@
 	struct follow *f = ctx;
 
 	ev_timer_stop(f->g->loop, &f->timer);
+	f->renewed = false;
 	if (end == H1_WHOLE)
 		take_answer(f);
 	else
@@ -435,6 +436,7 @@
 
 	if (f->exchange.link) {
 		h1_exchange_cancel(&f->exchange);
+		f->renewed = false;
 		failed(f, "no answer in time");
 		return;
 	}
@@ -527,12 +529,15 @@
 	if (now_us - f->behind_us < BEHIND_US)
 		return false;
 	f->behind_us = now_us;
-	if (f->exchange.link) {
+	/* A call made since the news is on its way, maybe over a slow link. */
+	if (f->exchange.link && !f->renewed) {
 		logline(LOG_WARNING, "store_behind",
 			"stream=%d upto=%llu others=%llu", t,
 			(unsigned long long)g->records[t].upto,
 			(unsigned long long)upto);
 		h1_exchange_cancel(&f->exchange);
+		f->renewed = true;
+		f->read_once = true;
 		timer_set(f, 0.);
 	}
 	return true;
--- a/cmd/figbend/gateway/gateway.h
+++ b/cmd/figbend/gateway/gateway.h
@@ -34,6 +34,7 @@
 	struct h1_buf answer;
 	uint16_t status;
 	bool in_snapshot;
+	bool renewed;	/* the call was made after another host had news */
 	bool read_once; /* another host has news: read without waiting */
 	bool passive;	/* other hosts of the domain read the stream */
 	char after[RECORD_KEY_BYTES];
