--- a/cmd/figbend/gateway/pools.c
+++ b/cmd/figbend/gateway/pools.c
@@ -53,18 +53,35 @@
 static void ask_prefill(struct run *r);
 static void ask_decode(struct run *r);
 
+/* The caller's estimate of its output, within what it allows at most. */
+static double likely_output(const struct call_prompt *p)
+{
+	double likely = p->output_likely_tokens * LIKELY_FACTOR;
+
+	if (likely > 0 && likely < p->output_max_tokens)
+		return likely;
+	return p->output_max_tokens;
+}
+
+/*
+ * What a request likely takes of an endpoint: its memory, half of the output on
+ * average, for as long as it makes tokens.
+ */
+double pools_work(const struct run *r)
+{
+	double out = likely_output(&r->call.prompt);
+
+	return (r->call.prompt.prompt_tokens + out / 2) * out;
+}
+
 /* Memory for the prompt and a part of the likely output, in whole blocks. */
 static uint32_t tokens_with(const struct run *r, double output_part)
 {
 	const struct call_prompt *p = &r->call.prompt;
 	uint32_t most = r->service->engine.kv_tokens;
-	double out = p->output_max_tokens;
-	double likely = p->output_likely_tokens * LIKELY_FACTOR;
 	uint32_t n;
 
-	if (likely > 0 && likely < out)
-		out = likely;
-	n = p->prompt_tokens + (uint32_t)(out * output_part);
+	n = p->prompt_tokens + (uint32_t)(likely_output(p) * output_part);
 	n = n / BLOCK_TOKENS * BLOCK_TOKENS + BLOCK_TOKENS;
 	return most && n > most ? most : n;
 }
@@ -488,7 +505,7 @@
 }
 
 /* Tells whether the first event can no longer be in time. */
-static bool is_late(const struct run *r, int64_t now_us)
+bool pools_is_late(const struct run *r, int64_t now_us)
 {
 	if (r->started)
 		return false;
@@ -526,7 +543,7 @@
 	enum fleet_none why;
 	struct fleet_endpoint *e;
 
-	if (is_late(r, now_us))
+	if (pools_is_late(r, now_us))
 		want.reserve_tokens =
 			(uint32_t)(LATE_RESERVE * want.total_tokens);
 	memcpy(want.not_on, r->tried, sizeof(want.not_on));
--- a/cmd/figbend/gateway/run.c
+++ b/cmd/figbend/gateway/run.c
@@ -180,6 +180,19 @@
 	run_free(r);
 }
 
+/* Puts a request among those that wait: less work goes first. */
+static void insert_waiting(struct runs *list, struct run *r)
+{
+	struct run *after = TAILQ_LAST(list, runs);
+
+	while (after && after->work > r->work)
+		after = TAILQ_PREV(after, runs, waiting_entry);
+	if (after)
+		TAILQ_INSERT_AFTER(list, after, r, waiting_entry);
+	else
+		TAILQ_INSERT_HEAD(list, r, waiting_entry);
+}
+
 /* Has the request wait until an endpoint has room. */
 void run_wait(struct run *r)
 {
@@ -191,7 +204,7 @@
 	r->is_waiting = true;
 	if (!r->wait_us)
 		r->wait_us = gateway_now_us(g);
-	TAILQ_INSERT_TAIL(&g->waiting, r, waiting_entry);
+	insert_waiting(&g->waiting, r);
 	g->n_waiting++;
 	if (!ev_is_active(&g->retry_waiting))
 		ev_timer_again(g->loop, &g->retry_waiting);
@@ -213,19 +226,50 @@
 		plain_advance(r);
 }
 
-/* Looks again at all requests that wait, the first to come first. */
-void run_retry_waiting(struct gateway *g)
+static bool is_late(const struct run *r, int64_t now_us)
+{
+	return r->service->engine.present && pools_is_late(r, now_us);
+}
+
+/* Takes out of a list the requests that can no longer be in time. */
+static void move_late(struct runs *list, struct runs *late, int64_t now_us)
+{
+	struct run *r, *next;
+
+	for (r = TAILQ_FIRST(list); r; r = next) {
+		next = TAILQ_NEXT(r, waiting_entry);
+		if (!is_late(r, now_us))
+			continue;
+		TAILQ_REMOVE(list, r, waiting_entry);
+		TAILQ_INSERT_TAIL(late, r, waiting_entry);
+	}
+}
+
+static void advance_all(struct runs *list)
 {
-	struct runs now = TAILQ_HEAD_INITIALIZER(now);
 	struct run *r;
 
-	TAILQ_CONCAT(&now, &g->waiting, waiting_entry);
-	g->n_waiting = 0;
-	while ((r = TAILQ_FIRST(&now)) != NULL) {
-		TAILQ_REMOVE(&now, r, waiting_entry);
+	while ((r = TAILQ_FIRST(list)) != NULL) {
+		TAILQ_REMOVE(list, r, waiting_entry);
 		r->is_waiting = false;
 		run_advance(r);
 	}
+}
+
+/*
+ * Looks again at all requests that wait. Those that can be in time go first, and
+ * less work before more: so most of them are, when there is not room for all.
+ */
+void run_retry_waiting(struct gateway *g)
+{
+	struct runs now = TAILQ_HEAD_INITIALIZER(now);
+	struct runs late = TAILQ_HEAD_INITIALIZER(late);
+
+	TAILQ_CONCAT(&now, &g->waiting, waiting_entry);
+	g->n_waiting = 0;
+	move_late(&now, &late, gateway_now_us(g));
+	advance_all(&now);
+	advance_all(&late);
 	if (!g->n_waiting)
 		ev_timer_stop(g->loop, &g->retry_waiting);
 }
@@ -426,6 +470,8 @@
 	r->account = account;
 	r->cost = account ? cost_of(call, account) : 0;
 	r->service = service ? directory_service(r->directory, service) : NULL;
+	if (r->service && r->service->engine.present)
+		r->work = pools_work(r);
 	set_limit(r);
 	if (!r->service) {
 		run_refuse(r, "the route's service is not declared");
--- a/cmd/figbend/gateway/run.h
+++ b/cmd/figbend/gateway/run.h
@@ -32,7 +32,8 @@
 	ev_timer step_timer;
 	enum run_step step;
 	bool is_waiting;
-	int64_t wait_us; /* when it began to wait */
+	int64_t wait_us;  /* when it began to wait */
+	double work;	  /* likely, in tokens of memory x tokens made */
 
 	struct h1_exchange exchange;
 	struct fleet_endpoint *endpoint;  /* that runs it, or will */
@@ -87,6 +88,8 @@
 
 /* pools.c: reservation, prefill, decode. */
 void pools_advance(struct run *r);
+double pools_work(const struct run *r);
+bool pools_is_late(const struct run *r, int64_t now_us);
 void pools_timeout(struct run *r);
 void pools_release(struct run *r);
 
