--- a/cmd/figbend/gateway/follow.c
+++ b/cmd/figbend/gateway/follow.c
@@ -507,12 +507,11 @@
 bool follow_is_behind(struct gateway *g, enum adapter_topic t, uint64_t upto)
 {
 	struct follow *f = &g->follow[t];
-	int64_t now_us = gateway_now_us(g);
+	bool stuck = records_lag_heard(&f->lag, g->records[t].upto, upto,
+				       BEHIND_US, gateway_now_us(g));
 
-	if (upto <= g->records[t].upto) {
-		f->behind_us = 0;
+	if (upto <= g->records[t].upto)
 		return false;
-	}
 	if (f->passive && t == ADAPTER_OPERATORS) {
 		/* A configuration may be too large for a host's link to pass
 		 * on to all others; the store's is not. */
@@ -524,11 +523,8 @@
 	}
 	if (f->passive)
 		return true;
-	if (!f->behind_us)
-		f->behind_us = now_us;
-	if (now_us - f->behind_us < BEHIND_US)
+	if (!stuck)
 		return false;
-	f->behind_us = now_us;
 	/* A call made since the news is on its way, maybe over a slow link. */
 	if (f->exchange.link && !f->renewed) {
 		logline(LOG_WARNING, "store_behind",
--- a/cmd/figbend/gateway/gateway.h
+++ b/cmd/figbend/gateway/gateway.h
@@ -39,10 +39,10 @@
 	bool passive;	/* other hosts of the domain read the stream */
 	char after[RECORD_KEY_BYTES];
 	uint64_t snapshot_end;
-	uint64_t from;	   /* that the call in progress asked for */
-	ev_timer timer;	   /* the next call, or the end of the present one */
+	uint64_t from;	/* that the call in progress asked for */
+	ev_timer timer; /* the next call, or the end of the present one */
+	struct records_lag lag;
 	int64_t ok_us;	   /* last answer */
-	int64_t behind_us; /* since when another host is ahead; 0: none is */
 	int64_t back_us;   /* first answer after failures; 0: none */
 	uint32_t failures; /* in a row */
 };
--- a/cmd/figbend/gateway/run.h
+++ b/cmd/figbend/gateway/run.h
@@ -32,8 +32,8 @@
 	ev_timer step_timer;
 	enum run_step step;
 	bool is_waiting;
-	int64_t wait_us;  /* when it began to wait */
-	double work;	  /* likely, in tokens of memory x tokens made */
+	int64_t wait_us; /* when it began to wait */
+	double work;	 /* likely, in tokens of memory x tokens made */
 
 	struct h1_exchange exchange;
 	struct fleet_endpoint *endpoint;  /* that runs it, or will */
--- a/pkg/record/record.c
+++ b/pkg/record/record.c
@@ -115,3 +115,27 @@
 	}
 	r->upto = end;
 }
+
+/*
+ * See record.h. A reader that is as far back as this one says nothing of the
+ * others: only own progress ends the wait.
+ */
+bool records_lag_heard(struct records_lag *l, uint64_t held, uint64_t theirs,
+		       int64_t patience_us, int64_t now_us)
+{
+	if (held != l->held)
+		l->since_us = 0;
+	l->held = held;
+	if (theirs > l->said)
+		l->said = theirs;
+	if (held >= l->said)
+		l->since_us = 0;
+	if (theirs <= held)
+		return false;
+	if (!l->since_us)
+		l->since_us = now_us;
+	if (now_us - l->since_us < patience_us)
+		return false;
+	l->since_us = now_us;
+	return true;
+}
--- a/pkg/record/record.h
+++ b/pkg/record/record.h
@@ -42,4 +42,18 @@
 void records_snapshot_end(struct records *r, uint64_t end, record_take gone,
 			  void *ctx);
 
+/* Whether other readers of a stream are ahead of this one. */
+struct records_lag {
+	uint64_t held;	  /* how far this reader was when it last looked */
+	uint64_t said;	  /* how far the one that is furthest is */
+	int64_t since_us; /* since when this one lacks that; 0: it does not */
+};
+
+/*
+ * Takes in how far another reader is. Returns true if it has had for patience_us
+ * what this one lacks; again each patience_us.
+ */
+bool records_lag_heard(struct records_lag *l, uint64_t held, uint64_t theirs,
+		       int64_t patience_us, int64_t now_us);
+
 #endif
