--- a/cmd/figbend/gateway/pools.c
+++ b/cmd/figbend/gateway/pools.c
@@ -39,6 +39,9 @@
 /* Runs at an endpoint are at different points, so that they do not take their
  * whole output's memory at once; more than this part of it stands idle. */
 #define GROWTH_SHARE 0.35
+/* A stream that outgrows what was counted for it counts as this much ahead of
+ * what it has made: about half a second of it. */
+#define AHEAD_TOKENS 64
 /* A reservation asks for a part of it too: runs that are there grow meanwhile.
  * What hosts say of their runs accounts for that if it is fresh. */
 #define HOLD_FRESH_S 0.2
@@ -372,6 +375,19 @@
 	return H1_TAKE;
 }
 
+/* Counts the memory of a stream that is longer than was expected. */
+static void count_growth(struct run *r)
+{
+	uint64_t made = r->events.n * r->service->engine.tokens_per_event;
+	uint32_t need =
+		r->call.prompt.prompt_tokens + (uint32_t)made + AHEAD_TOKENS;
+
+	if (!r->counted || need <= r->need_tokens)
+		return;
+	fleet_grew(r->endpoint, need - r->need_tokens);
+	r->need_tokens = need;
+}
+
 /* Hands whole events on; the first brings the caller the head. */
 static void give_events(struct run *r, const struct h1_buf *out)
 {
@@ -387,6 +403,7 @@
 		r->gap_us = now_us - r->event_us;
 	}
 	r->event_us = now_us;
+	count_growth(r);
 	h1_stream_piece(r->conn, h1_buf_data(out), h1_buf_bytes(out));
 	if (r->route->resumable)
 		run_step_timer(r, GAP_DEAD_US);
--- a/pkg/directory/directory.h
+++ b/pkg/directory/directory.h
@@ -42,7 +42,8 @@
 struct directory_engine {
 	bool present;
 	uint32_t kv_tokens;
-	uint32_t hold_max_ms; /* 0: memory cannot be reserved */
+	uint32_t hold_max_ms;	   /* 0: memory cannot be reserved */
+	uint32_t tokens_per_event; /* of a stream; the last may have fewer */
 };
 
 struct directory_service {
--- a/pkg/fleet/fleet.c
+++ b/pkg/fleet/fleet.c
@@ -182,6 +182,12 @@
 							     : e->prompt_tokens;
 }
 
+/* See fleet.h. */
+void fleet_grew(struct fleet_endpoint *e, uint32_t tokens)
+{
+	e->tokens += tokens;
+}
+
 /* A request is no longer at the endpoint. */
 void fleet_ended(struct fleet_endpoint *e, uint32_t tokens)
 {
--- a/pkg/fleet/fleet.h
+++ b/pkg/fleet/fleet.h
@@ -138,6 +138,8 @@
 void fleet_started(struct fleet_endpoint *e, uint32_t tokens,
 		   uint32_t prompt_tokens, int64_t now_us);
 void fleet_prompt_read(struct fleet_endpoint *e, uint32_t prompt_tokens);
+/* A request there takes more memory than was counted. */
+void fleet_grew(struct fleet_endpoint *e, uint32_t tokens);
 void fleet_ended(struct fleet_endpoint *e, uint32_t tokens);
 void fleet_outcome(struct fleet_endpoint *e, enum fleet_outcome o,
 		   int64_t took_us, int64_t now_us);
