--- a/cmd/figbend/gateway/pools.c
+++ b/cmd/figbend/gateway/pools.c
@@ -38,7 +38,7 @@
 #define BLOCK_TOKENS 16
 /* Runs at an endpoint are at different points, so that they do not take their
  * whole output's memory at once; more than this part of it stands idle. */
-#define GROWTH_SHARE 0.35
+#define GROWTH_SHARE 0.45
 /* A stream that outgrows what was counted for it counts as this much ahead of
  * what it has made: about half a second of it. */
 #define AHEAD_TOKENS 64
--- a/pkg/fleet/test/fleet_test.cc
+++ b/pkg/fleet/test/fleet_test.cc
@@ -206,3 +206,15 @@
 	EXPECT_FALSE(fleet_usable(&f, a));
 	fleet_unref(a);
 }
+
+TEST_F(Fleet, CountsWhatARequestGrewBy)
+{
+	struct fleet_endpoint *a = enter("a", "d1", FLEET_DECODE);
+
+	fleet_started(a, 600, 0, now_us);
+	EXPECT_EQ(choose(FLEET_DECODE, 300), a);
+	fleet_grew(a, 200);
+	EXPECT_EQ(choose(FLEET_DECODE, 300), nullptr);
+	fleet_ended(a, 800);
+	EXPECT_EQ(fleet_free_tokens(a, 1000), 1000);
+}
--- a/test/pools/deployment.py
+++ b/test/pools/deployment.py
@@ -128,7 +128,7 @@
                 {"Name": "model", "HealthCheckPath": "/health",
                  "ConnectionLimit": 100, "ColdStartS": 0, "ColdPerS": 0,
                  "Engine": {"Slots": 8, "KvCapacityTokens": 40000,
-                            "KvRetentionS": 0.5, "HoldMs": 2000,
+                            "KvRetentionS": 0.5, "HoldMs": 2000, "Stride": 8,
                             "Models": [{"Name": "m"}]}}],
             "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 100000,
                        "HeaderTimeoutMs": 1000, "IdleTimeoutMs": 5000},
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -421,6 +421,42 @@
 test_two_hosts_of_a_domain_read_for_the_others.domains = ("a",)
 
 
+async def one_decoder(d, **more):
+    """A prefill and a decode endpoint; streams may wait for three seconds."""
+    d.routes[2]["TargetLatencyMs"] = 3000
+    d.configure()
+    await d.add("model", "a", "prefill")
+    e = await d.add("model", "a", "decode", **more)
+    await d.start()
+    await d.until_ready()
+    return e
+
+
+async def test_gives_room_to_the_request_with_less_work(d):
+    """A long stream that came first kept short ones waiting."""
+    e = await one_decoder(d)
+    asks = []
+    for tokens in ((38000, 320), (37000, 800), (3000, 80)):
+        asks.append(asyncio.ensure_future(d.ask("stream", tokens=tokens)))
+        await asyncio.sleep(0.15)
+    done = await asyncio.gather(*asks)
+    first, large, small = [rid for rid, _ in done]
+    assert [r.status for _, r in done] == [200, 200, 200]
+    assert e.ran == [first, small, large], e.ran
+
+
+async def test_counts_a_stream_that_outgrows_its_estimate(d):
+    """Engines dropped streams for lack of memory, and read them in again."""
+    e = await one_decoder(d, memory=90000, event_s=0.003)
+    long = asyncio.ensure_future(d.ask(
+        "stream", tokens=(30000, 8000), fields={"Length-Hint": "16"}))
+    await asyncio.sleep(2)
+    assert e.ran and not e.done
+    rid, r = await d.ask("stream", tokens=(6000, 80))
+    assert r.status == 200
+    assert e.done == [(await long)[0], rid], "it had to wait for the memory"
+
+
 async def test_serves_metrics(d):
     await small(d)
     await d.ask("safe")
