--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -429,6 +429,7 @@
     e = await d.add("model", "a", "decode", **more)
     await d.start()
     await d.until_ready()
+    await asyncio.sleep(0.3)  # a new process starts with an empty limit
     return e
 
 
@@ -503,6 +504,9 @@
     binary, only = sys.argv[1], sys.argv[2:]
     tests = {k[5:]: v for k, v in globals().items() if k.startswith("test_")}
     failed = 0
+    unknown = [name for name in only if name not in tests]
+    if unknown:
+        sys.exit(f"no such test: {' '.join(unknown)}")
     for name, test in tests.items():
         if only and name not in only:
             continue
