member, cancel: what endpoints hold for a domain without hosts is cancelled

Cause: only hosts of a domain read its endpoints' reports and remove its hosts from the epoch. Ruled out: removal from the epoch by another domain; a paused host may trust its own domain only because nobody else removes it. Change: a relay that misses the relays of another domain reads the platform's list; once all hosts of that domain are silent and off it, it reads the endpoints' reports every 2 s and cancels runs of these hosts.

--- a/cmd/figbend/cancel_control.c
+++ b/cmd/figbend/cancel_control.c
@@ -120,10 +120,13 @@
 	return true;
 }
 
-/* Tells whether the epoch holds the process that a run belongs to, or a later. */
-static bool has_host(const struct member_epoch *e, const char *host,
-		     uint64_t boot_ms)
+/*
+ * Tells whether the epoch holds the process that a run belongs to, or a later. A
+ * domain whose hosts are all gone has nobody who takes them out of the epoch.
+ */
+static bool has_host(const struct daemon *d, const char *host, uint64_t boot_ms)
 {
+	const struct member_epoch *e = &d->board.epoch;
 	size_t n = strlen(host);
 	uint32_t i;
 
@@ -131,7 +134,9 @@
 		if (strncmp(e->host[i].name, host, n) ||
 		    (e->host[i].name[n] && n < DAEMON_RUN_HOST_CHARS))
 			continue;
-		if (e->host[i].boot / 1000 <= boot_ms)
+		if (e->host[i].boot / 1000 <= boot_ms &&
+		    !member_domain_gone(&d->host_control.core,
+					e->host[i].domain))
 			return true;
 	}
 	return false;
@@ -159,8 +164,8 @@
 }
 
 /*
- * Cancels what an endpoint that we admit to reports as running for hosts that
- * are no longer there. A process that the epoch does not hold yet gets a while.
+ * Cancels what an endpoint reports as running for hosts that are no longer there;
+ * one that we admit to, or one of a domain whose hosts are all gone. A process that the epoch does not hold yet gets a while.
  */
 void cancel_control_report(struct daemon *d, const char *addr,
 			   const struct engine_load *l)
@@ -174,7 +179,7 @@
 
 	for (i = 0; e->number && i < l->running_n; i++) {
 		if (!read_run(l->running[i], host, sizeof(host), &boot_ms) ||
-		    has_host(e, host, boot_ms))
+		    has_host(d, host, boot_ms))
 			continue;
 		o = find_orphan(d, l->running[i], now_us);
 		o->seen_us = now_us;
--- a/cmd/figbend/load_control.c
+++ b/cmd/figbend/load_control.c
@@ -8,6 +8,9 @@
 #include "logline.h"
 
 #define SILENCE_MS 1000
+/* Between reports of an endpoint whose domain has no hosts left: what it holds
+ * for them is seen twice and cancelled within a few seconds. */
+#define ORPHANED_INTERVAL_US 2000000LL
 
 /* The load reports of one endpoint that this host admits to. */
 struct load_poll {
@@ -57,6 +60,8 @@
 
 	p->asking = false;
 	e = admit_find(&p->daemon->board.admit, p->endpoint);
+	if (e && !e->book && ev->kind == ENGINE_EV_LOAD)
+		cancel_control_report(p->daemon, e->addr, &ev->load);
 	if (!e || !e->book)
 		return;
 	was_open = admit_book_is_open(e->book);
@@ -99,7 +104,24 @@
 	return p;
 }
 
-/* Asks each endpoint that this host admits to, when it is time. */
+/* Tells whether this host reads the endpoint's reports. */
+static bool reads(const struct daemon *d, const struct admit_endpoint *e)
+{
+	if (e->book)
+		return e->book->stage != ADMIT_CLOSED;
+	return e->role != CONFIG_ROLE_SERVICE &&
+	       member_domain_gone(&d->host_control.core, e->domain);
+}
+
+static bool is_due(const struct load_poll *p, const struct admit_endpoint *e,
+		   int64_t now_us)
+{
+	if (e->book)
+		return admit_book_report_due(e->book, p->asked_us, now_us);
+	return now_us - p->asked_us >= ORPHANED_INTERVAL_US;
+}
+
+/* Asks each endpoint whose reports this host reads, when it is time. */
 void load_control_tick(struct daemon *d)
 {
 	struct admit *a = &d->board.admit;
@@ -110,11 +132,10 @@
 
 	for (i = 0; i < a->n; i++) {
 		e = &a->endpoint[i];
-		if (!e->book || e->book->stage == ADMIT_CLOSED)
+		if (!reads(d, e))
 			continue;
 		p = find_poll(d, e->name);
-		if (p && !p->asking &&
-		    admit_book_report_due(e->book, p->asked_us, now_us))
+		if (p && !p->asking && is_due(p, e, now_us))
 			ask_load(p, e->addr, now_us);
 	}
 }
--- a/pkg/member/member.h
+++ b/pkg/member/member.h
@@ -14,6 +14,7 @@
 #define MEMBER_HOSTS_MAX 1024
 #define MEMBER_MONITORS 6 /* hosts that watch one host of their domain */
 #define MEMBER_RELAYS 2	  /* hosts of a domain that tell other domains */
+#define MEMBER_DOMAINS_MAX 16
 
 struct member_host {
 	char name[MEMBER_NAME_BYTES];
@@ -84,8 +85,11 @@
 	struct member_host self;
 	struct member_fold fold;
 	struct member_watch *watch; /* MEMBER_HOSTS_MAX of the caller's */
-	uint32_t target[MEMBER_MONITORS + MEMBER_RELAYS * 16]; /* of beats */
+	uint32_t target[MEMBER_MONITORS +
+			MEMBER_RELAYS * MEMBER_DOMAINS_MAX]; /* of beats */
 	uint32_t target_n;
+	const char *gone[MEMBER_DOMAINS_MAX]; /* in the epoch's memory */
+	uint32_t gone_n;
 	int64_t beat_us;
 	int64_t suspect_us;
 	int64_t checkpoint_us; /* longest time between checkpoints */
@@ -178,6 +182,11 @@
 		 int64_t now_us, struct member_actions *out);
 /* Tells whether what this host holds by the epoch may be used. */
 bool member_is_current(const struct member_core *c, int64_t now_us);
+/*
+ * Tells whether all hosts of another domain are silent and off the list. Only
+ * relays know; the domain may as well be cut off, and stays in the epoch.
+ */
+bool member_domain_gone(const struct member_core *c, const char *domain);
 /* Time since a host was heard; UINT32_MAX: never, or another start of it. */
 uint32_t member_silent_ms(const struct member_core *c, const char *host,
 			  uint64_t boot, int64_t now_us);
--- a/pkg/member/watch.c
+++ b/pkg/member/watch.c
@@ -7,7 +7,6 @@
 #define REMOVE_AGAIN_US 5000000LL
 #define LIST_INTERVAL_US 60000000LL
 #define LIST_AGAIN_US 2000000LL
-#define DOMAINS_MAX 16
 
 /* Returns a new action to fill in; beyond the room, the last one is reused. */
 struct member_action *member_act(struct member_actions *out,
@@ -65,26 +64,37 @@
 		c->target[c->target_n++] = (uint32_t)(h - c->fold.epoch->host);
 }
 
+/* Tells whether a host is one of those of its domain that tell other domains. */
+static bool is_relay(const struct member_core *c, const struct member_host *h)
+{
+	const struct member_host *relay[MEMBER_RELAYS];
+	uint32_t i, n;
+
+	n = member_homes(c->fold.epoch, h->domain, "relay", relay,
+			 MEMBER_RELAYS);
+	for (i = 0; i < n; i++)
+		if (strcmp(relay[i]->name, h->name) == 0)
+			return true;
+	return false;
+}
+
 /* A relay of this domain sends its heartbeats to those of other domains. */
 static void add_relays(struct member_core *c)
 {
 	const struct member_epoch *e = c->fold.epoch;
 	const struct member_host *relay[MEMBER_RELAYS];
-	const char *domain[DOMAINS_MAX];
+	const char *domain[MEMBER_DOMAINS_MAX];
 	uint32_t domain_n = 0;
-	bool relays = false;
+	bool relays = is_relay(c, &c->self);
 	uint32_t i, j, n;
 
-	n = member_homes(e, c->self.domain, "relay", relay, MEMBER_RELAYS);
-	for (i = 0; i < n; i++)
-		relays = relays || is_self(c, relay[i]);
 	for (i = 0; relays && i < e->n; i++) {
 		if (strcmp(e->host[i].domain, c->self.domain) == 0)
 			continue;
 		for (j = 0; j < domain_n; j++)
 			if (strcmp(domain[j], e->host[i].domain) == 0)
 				break;
-		if (j < domain_n || domain_n == DOMAINS_MAX)
+		if (j < domain_n || domain_n == MEMBER_DOMAINS_MAX)
 			continue;
 		domain[domain_n++] = e->host[i].domain;
 		n = member_homes(e, e->host[i].domain, "relay", relay,
@@ -145,6 +155,7 @@
 		memset(&c->watch[e->n], 0,
 		       (MEMBER_HOSTS_MAX - e->n) * sizeof(old));
 	make_targets(c);
+	c->gone_n = 0; /* they were named in the epoch before */
 }
 
 /* After a pause nobody's silence counts: this host did not listen. */
@@ -264,15 +275,76 @@
 	member_act(out, MEMBER_ACT_READ_LIST);
 }
 
+static bool is_silent(const struct member_core *c, const struct member_host *h,
+		      int64_t now_us)
+{
+	return now_us - member_watch_of(c, h)->heard_us >= c->suspect_us;
+}
+
+/* Tells whether a relay of another domain no longer tells this relay anything. */
+static bool misses_relay(const struct member_core *c, int64_t now_us)
+{
+	const struct member_epoch *e = c->fold.epoch;
+	uint32_t i;
+
+	for (i = 0; i < e->n; i++)
+		if (c->watch[i].heard_us && is_silent(c, &e->host[i], now_us) &&
+		    strcmp(e->host[i].domain, c->self.domain) != 0 &&
+		    is_relay(c, &e->host[i]))
+			return is_relay(c, &c->self);
+	return false;
+}
+
+/* Tells whether all hosts of a domain are silent and off the list. */
+static bool all_gone(const struct member_core *c, const char *domain,
+		     int64_t now_us)
+{
+	const struct member_epoch *e = c->fold.epoch;
+	uint32_t i;
+
+	for (i = 0; i < e->n; i++)
+		if (strcmp(e->host[i].domain, domain) == 0 &&
+		    (c->watch[i].listed || !is_silent(c, &e->host[i], now_us)))
+			return false;
+	return true;
+}
+
+/* See member.h. */
+bool member_domain_gone(const struct member_core *c, const char *domain)
+{
+	uint32_t i;
+
+	for (i = 0; i < c->gone_n; i++)
+		if (strcmp(c->gone[i], domain) == 0)
+			return true;
+	return false;
+}
+
+/* Finds the domains of which no host is left. */
+static void find_gone(struct member_core *c, int64_t now_us)
+{
+	const struct member_epoch *e = c->fold.epoch;
+	uint32_t i;
+
+	for (i = 0; i < e->n && c->gone_n < MEMBER_DOMAINS_MAX; i++)
+		if (strcmp(e->host[i].domain, c->self.domain) != 0 &&
+		    !member_domain_gone(c, e->host[i].domain) &&
+		    all_gone(c, e->host[i].domain, now_us))
+			c->gone[c->gone_n++] = e->host[i].domain;
+}
+
 /* Goes over the hosts that this one watches. */
 void member_watch_run(struct member_core *c, int64_t now_us,
 		      struct member_actions *out)
 {
 	const struct member_epoch *e = c->fold.epoch;
 	struct member_watch *w;
-	bool silent = false;
+	bool silent = misses_relay(c, now_us);
 	uint32_t i;
 
+	c->gone_n = 0;
+	if (silent)
+		find_gone(c, now_us);
 	for (i = 0; i < e->n; i++) {
 		w = &c->watch[i];
 		if (!w->mine || now_us - w->heard_us < c->suspect_us)
--- a/test/matrix/matrix.cc
+++ b/test/matrix/matrix.cc
@@ -91,6 +91,9 @@
 	return v.text();
 }
 
+/* The part of the cells and pairs that this process runs, of so many. */
+uint32_t shard = 0, shards = 1;
+
 /* The cells and pairs that KNOWN-RED.txt lists, by the text before " | ". */
 std::set<std::string> known_red;
 
@@ -212,6 +215,10 @@
 	for (size_t f = 0; f < kFaultsN; f++) {
 		printf("%-26s", kFaults[f].name);
 		for (int step = 0; step < kSteps; step++) {
+			if ((f * kSteps + step) % shards != shard) {
+				printf("%-15s", "");
+				continue;
+			}
 			if (step >= kModelSteps && kFaults[f].no_service) {
 				printf("%-15s", "can't occur");
 				impossible++;
@@ -246,6 +253,8 @@
 	int failed = 0, red = 0;
 
 	for (uint32_t seed = 1; seed <= n; seed++) {
+		if (seed % shards != shard)
+			continue;
 		std::string what;
 		std::string r = RunPair(seed, &what);
 
@@ -263,7 +272,12 @@
 
 } // namespace matrix
 
-/* Options: --pairs N, --known-red FILE. */
+static uint32_t Number(const char *text)
+{
+	return static_cast<uint32_t>(strtoul(text, nullptr, 10));
+}
+
+/* Options: --pairs N, --known-red FILE, --shard I --shards N. */
 int main(int argc, char **argv)
 {
 	uint32_t pairs = 0;
@@ -271,10 +285,17 @@
 
 	for (i = 1; i + 1 < argc; i += 2) {
 		if (strcmp(argv[i], "--pairs") == 0)
-			pairs = static_cast<uint32_t>(
-				strtoul(argv[i + 1], nullptr, 10));
+			pairs = Number(argv[i + 1]);
 		else if (strcmp(argv[i], "--known-red") == 0)
 			matrix::ReadKnownRed(argv[i + 1]);
+		else if (strcmp(argv[i], "--shard") == 0)
+			matrix::shard = Number(argv[i + 1]);
+		else if (strcmp(argv[i], "--shards") == 0)
+			matrix::shards = Number(argv[i + 1]);
+	}
+	if (!matrix::shards || matrix::shard >= matrix::shards) {
+		fprintf(stderr, "matrix: no such shard\n");
+		return 2;
 	}
 	failed = matrix::RunPlanted();
 	failed += matrix::RunMatrix();
