suspects: a request that crashes endpoints is refused by all hosts

Change: the gateway keeps runs that their endpoints broke off; when the endpoint's entry shows a crash (gone without leaving, or a new start), the run counts against the fingerprint of caller, host, path and body in pkg/quarantine, here and at all hosts.

--- a/cmd/figbend/gateway/beats.c
+++ b/cmd/figbend/gateway/beats.c
@@ -279,6 +279,8 @@
 	uint32_t i;
 	int host;
 
+	if (from->call.kind == FIG_CRASH)
+		suspects_heard(g, &from->call.fig_call_u.crash);
 	if (from->call.kind != FIG_SHARE)
 		return;
 	stats_add(&g->stats, STATS_peer_messages, 1);
@@ -385,6 +387,15 @@
 	free(s->load.load_val);
 }
 
+/* See gateway.h. */
+void beats_tell_all(struct gateway *g, const struct fig_call *call)
+{
+	struct gateway_peer *p;
+
+	TAILQ_FOREACH(p, &g->peers, entry)
+	peer_send(&g->peer, p->addr, call);
+}
+
 /* See gateway.h. */
 void beats_now(struct gateway *g)
 {
--- a/cmd/figbend/gateway/follow.c
+++ b/cmd/figbend/gateway/follow.c
@@ -133,6 +133,8 @@
 	if (!e)
 		return;
 	lapsed = !e->says.leaving && store_was_away(g, now_us);
+	if (!e->says.leaving)
+		suspects_endpoint_crashed(g, id);
 	logline(LOG_NOTICE, lapsed ? "endpoint_lapsed" : "endpoint_gone",
 		"endpoint=%s offset=%llu source=%s running=%u", id,
 		(unsigned long long)offset, source, e->running);
@@ -159,6 +161,8 @@
 		endpoint_gone(g, id, offset, source);
 		return;
 	}
+	if (known && e->says.born_ms != entry.born_ms)
+		suspects_endpoint_crashed(g, id);
 	if (!fleet_enter(&g->fleet, &entry, offset, gateway_now_us(g)))
 		return;
 	if (!known || was_leaving != entry.leaving)
--- a/cmd/figbend/gateway/gateway.c
+++ b/cmd/figbend/gateway/gateway.c
@@ -228,6 +228,7 @@
 	g->budgets.window_s = s->retry_window_s;
 	h1_client_init(&g->endpoints, g->loop, CONNECT_TIMEOUT_S, IDLE_MAX_S);
 	h1_client_init(&g->store, g->loop, STORE_CONNECT_TIMEOUT_S, IDLE_MAX_S);
+	suspects_init(g);
 	run_init(g);
 	r = beats_init(g);
 	if (r < 0)
--- a/cmd/figbend/gateway/gateway.h
+++ b/cmd/figbend/gateway/gateway.h
@@ -12,6 +12,7 @@
 #include "fleet.h"
 #include "h1.h"
 #include "peer.h"
+#include "quarantine.h"
 #include "record.h"
 #include "setup.h"
 #include "share.h"
@@ -65,6 +66,16 @@
 struct errand;
 TAILQ_HEAD(errands, errand);
 
+/* suspects.c: a run that its endpoint broke off, until it is known why. */
+#define GATEWAY_BROKEN_MAX 128
+
+struct gateway_broken {
+	uint64_t fingerprint; /* 0: none */
+	char endpoint[CALL_ID_BYTES];
+	char request[CALL_ID_BYTES];
+	int64_t at_us;
+};
+
 struct gateway {
 	struct ev_loop *loop;
 	const struct setup *setup;
@@ -113,6 +124,11 @@
 	struct stats stats;	      /* all */
 
 	struct errands errands; /* errand.c */
+
+	/* suspects.c */
+	struct quarantine quarantine;
+	struct gateway_broken broken[GATEWAY_BROKEN_MAX]; /* a ring */
+	uint32_t broken_next;
 };
 
 int gateway_init(struct gateway *g, const struct setup *s);
@@ -146,6 +162,8 @@
 double beats_interval_s(const struct gateway *g);
 /* Tells the hosts of the domain at once. */
 void beats_now(struct gateway *g);
+/* Sends a message to all hosts that are known. */
+void beats_tell_all(struct gateway *g, const struct fig_call *call);
 void beats_host_gone(struct gateway *g, const char *name);
 
 /* errand.c: calls whose outcome no request waits for. */
@@ -155,6 +173,16 @@
 			const char *handle);
 void errand_finish(struct gateway *g);
 
+/* suspects.c */
+void suspects_init(struct gateway *g);
+void suspects_broken(struct run *r);
+/* The endpoint's entry shows that it crashed or started anew. */
+void suspects_endpoint_crashed(struct gateway *g, const char *endpoint);
+void suspects_heard(struct gateway *g, const struct fig_crash *c);
+bool suspects_hold(struct gateway *g, const struct call_head *call,
+		   const struct directory_account *account,
+		   const struct h1_buf *body);
+
 /* run.c */
 void run_init(struct gateway *g);
 void run_request(void *ctx, struct h1_conn *c);
--- a/cmd/figbend/gateway/plain.c
+++ b/cmd/figbend/gateway/plain.c
@@ -97,6 +97,8 @@
 		(long long)(now_us - r->sent_us) / 1000, r->endpoint->running,
 		(long long)(now_us - r->endpoint->load_us) / 1000);
 	fleet_outcome(r->endpoint, outcome, now_us - r->sent_us, now_us);
+	if (outcome == FLEET_FAILED && may_have_run)
+		suspects_broken(r);
 	run_tried(r, r->endpoint);
 	run_leave_endpoint(r);
 	if (outcome != FLEET_NO_CONNECTION)
--- a/cmd/figbend/gateway/pools.c
+++ b/cmd/figbend/gateway/pools.c
@@ -324,6 +324,8 @@
 
 	log_step(r, r->endpoint, "decode", reason);
 	fleet_outcome(r->endpoint, outcome, now_us - r->sent_us, now_us);
+	if (outcome == FLEET_FAILED && may_have_run)
+		suspects_broken(r);
 	events_drop_partial(&r->events);
 	h1_buf_finish(&r->body);
 	if (outcome != FLEET_SHED)
--- a/cmd/figbend/gateway/run.c
+++ b/cmd/figbend/gateway/run.c
@@ -293,6 +293,8 @@
 {
 	struct gateway *g = r->g;
 
+	if (suspects_hold(g, &r->call, r->account, &r->conn->request.body))
+		return false;
 	if (share_budget_spend(&g->budgets, r->service->name, g->fleet.hosts,
 			       gateway_now_us(g))) {
 		stats_add(&g->stats, STATS_sends_again, 1);
@@ -519,6 +521,11 @@
 			  "unknown key");
 		return;
 	}
+	if (suspects_hold(g, &call, account, &c->request.body)) {
+		turn_away(g, c, call.id, 503, STATS_refused_held,
+			  "Retry-After: 60\r\n", "crashes endpoints");
+		return;
+	}
 	if (within_limit(g, c, &call, account))
 		start(g, c, &call, route, account);
 }
--- a/pkg/quarantine/quarantine.c
+++ b/pkg/quarantine/quarantine.c
@@ -6,25 +6,38 @@
 #define DECAY_US (600LL * 1000000)
 #define TOGETHER_US (500LL * 1000) /* of runs that one crash ended */
 #define CRASHES_MAX 2
-#define CRASHES_IN_COMPANY_MAX 4
+#define CRASHES_IN_COMPANY 2 /* more that it takes beside other suspects */
 #define FNV_OFFSET 14695981039346656037ULL
 #define FNV_PRIME 1099511628211ULL
 
 void quarantine_init(struct quarantine *q)
 {
 	memset(q, 0, sizeof(*q));
+	q->crashes_max = CRASHES_MAX;
+}
+
+/* Starts a fingerprint of several parts. */
+uint64_t quarantine_hash_start(void)
+{
+	return FNV_OFFSET;
+}
+
+/* Adds n bytes to a fingerprint. */
+uint64_t quarantine_hash(uint64_t h, const void *p, size_t n)
+{
+	const uint8_t *byte = p;
+
+	while (n--)
+		h = (h ^ *byte++) * FNV_PRIME;
+	return h;
 }
 
 /* Returns a number, never 0, that stands for a model and a prompt. */
 uint64_t quarantine_fingerprint(const char *model, const char *prompt)
 {
-	uint64_t h = FNV_OFFSET;
+	uint64_t h = quarantine_hash(FNV_OFFSET, model, strlen(model) + 1);
 
-	for (; *model; model++)
-		h = (h ^ (uint8_t)*model) * FNV_PRIME;
-	h *= FNV_PRIME;
-	for (; *prompt; prompt++)
-		h = (h ^ (uint8_t)*prompt) * FNV_PRIME;
+	h = quarantine_hash(h, prompt, strlen(prompt));
 	return h ? h : 1;
 }
 
@@ -114,6 +127,18 @@
 	return false;
 }
 
+static void note_held(struct quarantine *q, const struct quarantine_entry *e)
+{
+	if (e->held)
+		q->held_until_us = e->last_us + DECAY_US;
+}
+
+/* See quarantine.h. */
+bool quarantine_holds_any(const struct quarantine *q, int64_t now_us)
+{
+	return q->held_until_us && now_us <= q->held_until_us;
+}
+
 /*
  * A request was running on an endpoint as it crashed. Returns whether it is
  * quarantined from now on.
@@ -122,15 +147,16 @@
 			const char *endpoint, int64_t now_us)
 {
 	struct quarantine_entry *e = get(q, print, now_us);
-	uint32_t max = CRASHES_MAX;
+	uint32_t max = q->crashes_max;
 
 	if (has_company(q, e, endpoint, now_us))
-		max = CRASHES_IN_COMPANY_MAX;
+		max += CRASHES_IN_COMPANY;
 	e->crashes++;
 	e->last_us = now_us;
 	e->left_us = now_us;
 	snprintf(e->endpoint, sizeof(e->endpoint), "%s", endpoint);
 	e->held |= e->crashes >= max;
+	note_held(q, e);
 	return e->held;
 }
 
@@ -143,4 +169,5 @@
 	e->crashes++;
 	e->last_us = now_us;
 	e->held |= held;
+	note_held(q, e);
 }
--- a/pkg/quarantine/quarantine.h
+++ b/pkg/quarantine/quarantine.h
@@ -2,6 +2,7 @@
 #define FIGBEND_QUARANTINE_H
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 /*
@@ -33,9 +34,16 @@
 
 struct quarantine {
 	struct quarantine_entry entry[QUARANTINE_MAX];
+	uint32_t crashes_max;  /* alone, until a request is held */
+	int64_t held_until_us; /* of all that are held; 0: none is */
 };
 
 void quarantine_init(struct quarantine *q);
+/* Whether any request is held, to spare others the fingerprint. */
+bool quarantine_holds_any(const struct quarantine *q, int64_t now_us);
+/* Fingerprints of parts that may hold any bytes. */
+uint64_t quarantine_hash_start(void);
+uint64_t quarantine_hash(uint64_t h, const void *p, size_t n);
 uint64_t quarantine_fingerprint(const char *model, const char *prompt);
 enum quarantine_verdict quarantine_check(struct quarantine *q, uint64_t print,
 					 int64_t now_us);
--- a/pkg/stats/stats.h
+++ b/pkg/stats/stats.h
@@ -16,6 +16,7 @@
 	X(answered, "endpoints' answers handed on whole")                      \
 	X(refused_limit, "requests over their account's limit")                \
 	X(refused_full, "requests that found no room in time")                 \
+	X(refused_held, "requests that crash endpoints")                       \
 	X(refused_unknown, "requests with an unknown route or key")            \
 	X(failed_sent, "requests that failed after they were sent")            \
 	X(streams_cut, "streams that broke off")                               \
@@ -29,6 +30,7 @@
 	X(holds_denied, "reservations that found no room")                     \
 	X(resumed, "streams that went on at another endpoint")                 \
 	X(answers_foreign, "answers of another request, skipped")              \
+	X(crash_suspects, "runs that were at an endpoint as it crashed")       \
 	X(store_calls, "calls to the store")                                   \
 	X(store_failures, "calls to the store that failed")                    \
 	X(connects, "connections opened to endpoints")                         \
--- a/test/pools/deployment.py
+++ b/test/pools/deployment.py
@@ -140,6 +140,7 @@
                      **more)
         self.endpoints.append(e)
         Endpoint.others = self.endpoints
+        Endpoint.store = self.store
         await e.start()
         self.store.put_json("keyed.servers", e.name, e.entry())
         return e
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -421,6 +421,21 @@
 test_two_hosts_of_a_domain_read_for_the_others.domains = ("a",)
 
 
+async def test_stops_a_request_that_crashes_endpoints(d):
+    """Its caller sends it again, to any host."""
+    await small(d)
+    statuses = []
+    for n in range(6):
+        statuses.append((await d.ask("safe", host=n % 2, body=b"poison"))[1]
+                        .status)
+        await asyncio.sleep(0.7)
+    assert statuses[-3:] == [503, 503, 503], statuses
+    runs = sum(len(e.ran) for e in plain(d))
+    assert 3 <= runs <= 4, runs
+    for n in range(4):
+        assert (await d.ask("safe", host=n % 2))[1].status == 200
+
+
 async def one_decoder(d, **more):
     """A prefill and a decode endpoint; streams may wait for three seconds."""
     d.routes[2]["TargetLatencyMs"] = 3000
--- a/test/pools/standins.py
+++ b/test/pools/standins.py
@@ -184,6 +184,7 @@
         self.name, self.service, self.domain = name, service, domain
         self.stage, self.slots, self.memory = stage, slots, memory
         self.work_s, self.event_s = work_s, event_s
+        self.born = 1700000000000
         self.faults = []
         self.seen = []  # (id, headers, target, body, what)
         self.ran = []  # ids that it began to run
@@ -196,7 +197,7 @@
         e = {"Service": self.service, "Address": self.addr,
              "Zone": self.domain, "Version": "v1", "Slots": self.slots,
              "State": state, "ColdRemainingMs": 0, "Sequence": 1,
-             "born": 1700000000000}
+             "born": self.born}
         if self.stage:
             e["Stage"] = self.stage
             e["Models"] = [{"Name": "m", "Version": 1, "Adapters": []}]
@@ -251,6 +252,10 @@
             return True
         if fault == "silent":
             await asyncio.sleep(3600)
+        if b"poison" in body and headers.get("serving-stage") != "prefill":
+            self.ran.append(rid)
+            self.restart = asyncio.ensure_future(self.crash())
+            return False
         if fault == "reset":
             if headers.get("serving-stage") != "prefill":
                 self.ran.append(rid)
@@ -282,6 +287,17 @@
         return False
 
     others = []
+    store = None
+    restart = None
+
+    async def crash(self):
+        """Ends with all that it runs, and is back as a new start."""
+        await self.stop()
+        self.store.put("keyed.servers", self.name, None)
+        await asyncio.sleep(0.2)
+        self.born += 1
+        await self.start()
+        self.store.put_json("keyed.servers", self.name, self.entry())
 
     async def plain(self, writer, rid, stamp, fault):
         self.ran.append(rid)
