gateway: a host that is cut off without endpoints leaves its callers to others

A domain was cut off and the only plain endpoint of its side had left; its hosts stayed ready and refused all callers of their domain, whom other domains could serve. Ruled out: endpoints that fail, limits. Change: a host that hears no other domain, and has no endpoint for a request, is not ready until it hears one again, and closes callers' connections after their answers. Test: test/pools leaves_callers_to_others_when_cut_off, failed first.

--- a/cmd/figbend/gateway/beats.c
+++ b/cmd/figbend/gateway/beats.c
@@ -153,6 +153,7 @@
 	clear_loads(p);
 	share_host_gone(&g->share, p->name);
 	TAILQ_REMOVE(&g->peers, p, entry);
+	fleet_silence(&g->fleet, p->domain, false);
 	free(p);
 	count_hosts(g);
 }
@@ -358,6 +359,59 @@
 	return 0;
 }
 
+static bool is_heard(const struct gateway *g, const struct gateway_peer *p)
+{
+	return p->heard_us &&
+	       gateway_now_us(g) - p->heard_us < g->share.silent_us;
+}
+
+/* Tells whether any host of a domain is heard. */
+static bool domain_heard(const struct gateway *g, const char *domain)
+{
+	const struct gateway_peer *p;
+
+	TAILQ_FOREACH(p, &g->peers, entry)
+	if (is_heard(g, p) && strcmp(p->domain, domain) == 0)
+		return true;
+	return false;
+}
+
+/* Marks the other domains of which hosts were heard once, and none is now. */
+static void note_silence(struct gateway *g)
+{
+	const struct gateway_peer *p;
+
+	TAILQ_FOREACH(p, &g->peers, entry)
+	if (p->domain[0] && strcmp(p->domain, g->setup->domain) != 0)
+		fleet_silence(&g->fleet, p->domain,
+			      !domain_heard(g, p->domain));
+}
+
+/*
+ * Notes when no other domain is heard any more, and when one is again. Then
+ * connections of callers stay open again.
+ */
+static void note_alone(struct gateway *g)
+{
+	const struct gateway_peer *p;
+	bool others = false, heard = false;
+
+	TAILQ_FOREACH(p, &g->peers, entry)
+	{
+		if (!p->heard_us || strcmp(p->domain, g->setup->domain) == 0)
+			continue;
+		others = true;
+		heard = heard || is_heard(g, p);
+	}
+	if ((others && !heard) == (g->alone_us != 0))
+		return;
+	g->alone_us = others && !heard ? gateway_now_us(g) : 0;
+	logline(LOG_WARNING, g->alone_us ? "domains_lost" : "domains_back",
+		"domain=%s hosts=%u running=%u", g->setup->domain,
+		g->fleet.hosts, g->n_runs);
+	g->callers.draining = g->stopping;
+}
+
 static void forget_silent(struct gateway *g)
 {
 	int64_t now_us = gateway_now_us(g);
@@ -416,6 +470,8 @@
 	double next_s = beats_interval_s(g);
 
 	g->share.silent_us = (int64_t)(SILENT_BEATS * next_s * 1e6);
+	note_silence(g);
+	note_alone(g);
 	forget_silent(g);
 	send_beats(g, false);
 	ev_timer_stop(loop, w);
--- a/cmd/figbend/gateway/gateway.c
+++ b/cmd/figbend/gateway/gateway.c
@@ -53,7 +53,14 @@
 /* Tells whether a new connection is served here as well as anywhere. */
 bool gateway_ready(const struct gateway *g)
 {
-	return !g->stopping && g->directory && g->fleet.n;
+	return !g->stopping && g->directory && g->fleet.n &&
+	       !gateway_is_cut_off(g);
+}
+
+/* See gateway.h. */
+bool gateway_is_cut_off(const struct gateway *g)
+{
+	return g->alone_us && g->starved_us > g->alone_us;
 }
 
 /* See gateway.h. */
--- a/cmd/figbend/gateway/gateway.h
+++ b/cmd/figbend/gateway/gateway.h
@@ -119,6 +119,10 @@
 	struct gateway_peers peers;
 	ev_timer beat;
 	struct share share;
+	int64_t alone_us; /* no other domain is heard since; 0: one is */
+
+	/* run files: last request for which no endpoint worked */
+	int64_t starved_us;
 
 	struct share_budgets budgets; /* runs */
 	struct stats stats;	      /* all */
@@ -138,6 +142,9 @@
 int64_t gateway_clock_us(void);
 uint64_t gateway_random(struct gateway *g);
 bool gateway_ready(const struct gateway *g);
+/* Tells whether callers are served better elsewhere: the domain is cut off, and
+ * endpoints that they need are on the other side. */
+bool gateway_is_cut_off(const struct gateway *g);
 /* Tells whether a request that comes now can be served before the process ends. */
 bool gateway_takes(const struct gateway *g);
 
--- a/cmd/figbend/gateway/plain.c
+++ b/cmd/figbend/gateway/plain.c
@@ -140,7 +140,7 @@
 	if (!e) {
 		if ((double)(now_us - r->read_us) >
 		    WAIT_TARGETS * 1000. * r->route->target_ms)
-			run_refuse(r, why == FLEET_NONE_LISTED
+			run_starve(r, why == FLEET_NONE_LISTED
 					      ? "no endpoint"
 					      : "no endpoint that works");
 		else
--- a/cmd/figbend/gateway/pools.c
+++ b/cmd/figbend/gateway/pools.c
@@ -568,11 +568,12 @@
 	memcpy(want.not_on, r->tried, sizeof(want.not_on));
 	e = fleet_choose(&g->fleet, &want, now_us, &why);
 	if (!e) {
-		if (!r->started && now_us - r->read_us > patience_of(r))
-			run_refuse(r, why == FLEET_ALL_FULL ? "no memory free"
-							    : "no endpoint");
-		else
+		if (r->started || now_us - r->read_us <= patience_of(r))
 			run_wait(r);
+		else if (why == FLEET_ALL_FULL)
+			run_refuse(r, "no memory free");
+		else
+			run_starve(r, "no endpoint");
 		return;
 	}
 	if (r->wait_us)
--- a/cmd/figbend/gateway/run.c
+++ b/cmd/figbend/gateway/run.c
@@ -148,6 +148,22 @@
 	run_free(r);
 }
 
+/* See run.h. A host that is cut off leaves its callers to others from now on. */
+void run_starve(struct run *r, const char *reason)
+{
+	struct gateway *g = r->g;
+
+	g->starved_us = gateway_now_us(g);
+	if (gateway_is_cut_off(g) && !g->callers.draining) {
+		g->callers.draining = true;
+		logline(LOG_WARNING, "cut_off",
+			"request=%s service=%s alone_ms=%lld", r->call.id,
+			r->service->name,
+			(long long)(g->starved_us - g->alone_us) / 1000);
+	}
+	run_refuse(r, reason);
+}
+
 /* Ends a request that may have run, or whose stream has begun. */
 void run_fail(struct run *r, uint16_t status, const char *reason)
 {
--- a/cmd/figbend/gateway/run.h
+++ b/cmd/figbend/gateway/run.h
@@ -67,6 +67,8 @@
 
 /* run.c */
 void run_refuse(struct run *r, const char *reason);
+/* Refuses a request because no endpoint that it needs works. */
+void run_starve(struct run *r, const char *reason);
 void run_fail(struct run *r, uint16_t status, const char *reason);
 void run_deliver(struct run *r);
 void run_free(struct run *r);
--- a/pkg/fleet/choose.c
+++ b/pkg/fleet/choose.c
@@ -6,6 +6,9 @@
 #define LOAD_AGE_MAX_US 300000LL
 /* What another domain costs, as a share of an endpoint's capacity. */
 #define FAR_COST 0.04
+/* A domain whose hosts are all silent may be cut off: its endpoints are taken
+ * when the others are this much fuller. */
+#define SILENT_COST 0.6
 /* What an endpoint whose requests all fail costs in the same measure. */
 #define FAILING_COST 3.0
 /* Spreads choices among endpoints that cost the same. */
@@ -79,6 +82,8 @@
 		cost += e->latency_us / 1e6;
 	if (strcmp(e->says.domain, w->near ? w->near : f->domain) != 0)
 		cost += FAR_COST;
+	if (fleet_is_silent(f, e))
+		cost += SILENT_COST;
 	return cost;
 }
 
--- a/pkg/fleet/fleet.c
+++ b/pkg/fleet/fleet.c
@@ -1,5 +1,6 @@
 #include "fleet.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -130,33 +131,54 @@
 	}
 }
 
-/* Takes a domain out, or back in. */
-void fleet_withdraw(struct fleet *f, const char *domain, bool withdrawn)
+static bool has(const struct fleet_domains *d, const char *name)
 {
 	uint32_t i;
 
-	for (i = 0; i < f->n_withdrawn; i++)
-		if (strcmp(f->withdrawn[i], domain) == 0)
+	for (i = 0; i < d->n; i++)
+		if (strcmp(d->name[i], name) == 0)
+			return true;
+	return false;
+}
+
+/* Adds a domain to a set or takes it out; one over the room is left out. */
+static void put(struct fleet_domains *d, const char *name, bool in)
+{
+	uint32_t i;
+
+	for (i = 0; i < d->n; i++)
+		if (strcmp(d->name[i], name) == 0)
 			break;
-	if (withdrawn && i == f->n_withdrawn && i < FLEET_DOMAINS_MAX)
-		strncpy(f->withdrawn[f->n_withdrawn++], domain,
-			CALL_NAME_BYTES - 1);
-	if (!withdrawn && i < f->n_withdrawn)
-		memmove(f->withdrawn[i], f->withdrawn[i + 1],
-			(--f->n_withdrawn - i) * sizeof(f->withdrawn[0]));
+	if (in && i == d->n && i < FLEET_DOMAINS_MAX)
+		snprintf(d->name[d->n++], CALL_NAME_BYTES, "%s", name);
+	if (!in && i < d->n)
+		memmove(d->name[i], d->name[i + 1],
+			(--d->n - i) * sizeof(d->name[0]));
+}
+
+/* Takes a domain out, or back in. */
+void fleet_withdraw(struct fleet *f, const char *domain, bool withdrawn)
+{
+	put(&f->withdrawn, domain, withdrawn);
+}
+
+/* See fleet.h. */
+void fleet_silence(struct fleet *f, const char *domain, bool silent)
+{
+	put(&f->silent, domain, silent);
+}
+
+/* Tells whether no host of the endpoint's domain is heard. */
+bool fleet_is_silent(const struct fleet *f, const struct fleet_endpoint *e)
+{
+	return has(&f->silent, e->says.domain);
 }
 
 /* Tells whether new requests may go to the endpoint at all. */
 bool fleet_usable(const struct fleet *f, const struct fleet_endpoint *e)
 {
-	uint32_t i;
-
-	if (!e->listed || e->says.leaving)
-		return false;
-	for (i = 0; i < f->n_withdrawn; i++)
-		if (strcmp(f->withdrawn[i], e->says.domain) == 0)
-			return false;
-	return true;
+	return e->listed && !e->says.leaving &&
+	       !has(&f->withdrawn, e->says.domain);
 }
 
 /* A request goes to the endpoint. */
--- a/pkg/fleet/fleet.h
+++ b/pkg/fleet/fleet.h
@@ -83,11 +83,16 @@
 
 #define FLEET_DOMAINS_MAX 16
 
+struct fleet_domains {
+	char name[FLEET_DOMAINS_MAX][CALL_NAME_BYTES];
+	uint32_t n;
+};
+
 struct fleet {
 	struct fleet_endpoints list;
 	uint32_t n;
-	char withdrawn[FLEET_DOMAINS_MAX][CALL_NAME_BYTES];
-	uint32_t n_withdrawn;
+	struct fleet_domains withdrawn;
+	struct fleet_domains silent;  /* none of their hosts is heard */
 	char domain[CALL_NAME_BYTES]; /* of this host */
 	uint32_t hosts; /* that share what a cold endpoint bears */
 	uint64_t random;
@@ -126,6 +131,9 @@
 /* Forgets endpoints whose time has come. */
 void fleet_sweep(struct fleet *f, int64_t now_us);
 void fleet_withdraw(struct fleet *f, const char *domain, bool withdrawn);
+/* No host of a domain is heard any more, or one is: it may be cut off. */
+void fleet_silence(struct fleet *f, const char *domain, bool silent);
+bool fleet_is_silent(const struct fleet *f, const struct fleet_endpoint *e);
 bool fleet_usable(const struct fleet *f, const struct fleet_endpoint *e);
 
 struct fleet_endpoint *fleet_choose(struct fleet *f,
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -436,6 +436,27 @@
         assert (await d.ask("safe", host=n % 2))[1].status == 200
 
 
+async def test_leaves_callers_to_others_when_cut_off(d):
+    """ogha inc-1408: a domain that was cut off, with the only plain endpoint
+    of its side gone, refused what other domains could serve."""
+    await small(d)
+    first, second = d.hosts
+    await asyncio.sleep(0.5)
+    second.signal(signal.SIGSTOP)
+    await asyncio.sleep(1.5)
+    assert (await d.ask("safe"))[1].status == 200
+    assert await d.ready(first) == 200, "alone, and serves"
+    for e in plain(d):
+        await e.stop()
+    await d.ask("safe")
+    r = (await d.ask("safe"))[1]
+    assert (r.status, r.headers.get("connection")) == (503, "close"), r.status
+    assert await d.ready(first) == 503
+    second.signal(signal.SIGCONT)
+    await asyncio.sleep(0.6)
+    assert await d.ready(first) == 200
+
+
 async def one_decoder(d, **more):
     """A prefill and a decode endpoint; streams may wait for three seconds."""
     d.routes[2]["TargetLatencyMs"] = 3000
