beats: hosts tell each other sooner while an account is short

Ruled out: the cap on what an account owes (not reached in the model). Change: while an account's bucket is under half full, a host that let something through of it tells the others every 0.2 s, as with few hosts. Test: share_test OfManyHosts, fails without the change.

--- a/cmd/figbend/gateway/beats.c
+++ b/cmd/figbend/gateway/beats.c
@@ -18,6 +18,8 @@
 /* Of the inexactness that operators allow, this part is added to bursts, so that
  * what is on its way between hosts refuses nobody within the limit. */
 #define LIMIT_SLACK_PART 0.4
+/* Timers end a little early or late; a message is due this much before. */
+#define BEAT_EARLY_US 50000LL
 /* Messages that may be lost before a host counts as silent. */
 #define SILENT_BEATS 5
 /* With many hosts a host sends one message in so many seconds. */
@@ -464,19 +466,26 @@
 	return s > BEAT_MIN_S ? s : BEAT_MIN_S;
 }
 
+/*
+ * Sends a message when its interval is over, or as soon as with few hosts while
+ * an account is short: what all hosts let through between messages adds up.
+ */
 static void on_beat(struct ev_loop *loop, ev_timer *w, int events)
 {
 	struct gateway *g = w->data;
-	double next_s = beats_interval_s(g);
+	int64_t now_us = gateway_now_us(g);
+	int64_t interval_us = (int64_t)(beats_interval_s(g) * 1e6);
 
-	g->share.silent_us = (int64_t)(SILENT_BEATS * next_s * 1e6);
+	g->share.silent_us = SILENT_BEATS * interval_us;
 	note_silence(g);
 	note_alone(g);
 	forget_silent(g);
+	if (now_us - g->beaten_us < interval_us - BEAT_EARLY_US &&
+	    !share_is_scarce(&g->share, now_us))
+		return;
+	g->beaten_us = now_us;
 	send_beats(g, false);
-	ev_timer_stop(loop, w);
-	ev_timer_set(w, next_s, 0.);
-	ev_timer_start(loop, w);
+	share_told(&g->share);
 }
 
 /* Starts to listen to other hosts and to tell them. */
@@ -491,7 +500,7 @@
 		      g->setup->secret, g->boot_us, on_call, on_message, g);
 	if (r < 0)
 		return r;
-	ev_timer_init(&g->beat, on_beat, BEAT_MIN_S, 0.);
+	ev_timer_init(&g->beat, on_beat, BEAT_MIN_S, BEAT_MIN_S);
 	g->beat.data = g;
 	ev_timer_start(g->loop, &g->beat);
 	return 0;
--- a/cmd/figbend/gateway/gateway.h
+++ b/cmd/figbend/gateway/gateway.h
@@ -118,6 +118,7 @@
 	struct peer peer;
 	struct gateway_peers peers;
 	ev_timer beat;
+	int64_t beaten_us; /* last message to all hosts */
 	struct share share;
 	int64_t alone_us; /* no other domain is heard since; 0: one is */
 
--- a/pkg/share/share.c
+++ b/pkg/share/share.c
@@ -204,6 +204,32 @@
 		a->level = -a->burst;
 }
 
+/* See share.h. */
+void share_told(struct share *s)
+{
+	uint32_t i;
+
+	for (i = 0; i < s->n_accounts; i++)
+		s->account[i].told = s->account[i].spent;
+}
+
+/* See share.h. */
+bool share_is_scarce(struct share *s, int64_t now_us)
+{
+	struct share_account *a;
+	uint32_t i;
+
+	for (i = 0; i < s->n_accounts; i++) {
+		a = &s->account[i];
+		if (a->rate_per_s <= 0 || a->told == a->spent)
+			continue;
+		refill(s, a, now_us);
+		if (a->level < a->burst / 2)
+			return true;
+	}
+	return false;
+}
+
 /* Forgets a host. */
 void share_host_gone(struct share *s, const char *name)
 {
--- a/pkg/share/share.h
+++ b/pkg/share/share.h
@@ -23,6 +23,7 @@
 	double burst;
 	double level;
 	int64_t level_us; /* when the level was right */
+	uint64_t told;	  /* what the other hosts were told of spent */
 	uint64_t spent;	 /* by this host since its start, less what came back */
 	uint64_t *heard; /* by each other host, as it said last */
 };
@@ -64,6 +65,14 @@
 /* The host says that it has let so much through since its start. */
 void share_heard(struct share *s, int host, const char *account, uint64_t spent,
 		 int64_t now_us);
+/* The other hosts are told what this one has let through so far. */
+void share_told(struct share *s);
+/*
+ * Tells whether the others should hear soon what this host let through: of an
+ * account whose bucket is less than half full, all hosts let too much through
+ * until they hear of each other.
+ */
+bool share_is_scarce(struct share *s, int64_t now_us);
 void share_host_gone(struct share *s, const char *name);
 uint32_t share_hosts(const struct share *s); /* this one among them */
 
--- a/pkg/share/test/share_test.cc
+++ b/pkg/share/test/share_test.cc
@@ -137,6 +137,78 @@
 	EXPECT_GE(w.most_in(8 * S), 8 * World::RATE * 0.9);
 }
 
+/*
+ * QUOTA, ogha-tabelas-grown hunt-fa7c-7: 65 hosts that tell each other every
+ * 0.65 s, before an account that asks six times its rate.
+ */
+TEST(Share, OfManyHostsHoldsWhileAnAccountAsksForMore)
+{
+	static constexpr int N = 65;
+	static constexpr double RATE = 79236, BURST = 79236, SLACK = 190000;
+	static constexpr double COST = 4800, ALLOWED = (8 * RATE + BURST) * 1.1;
+	std::vector<Host> host(N);
+	std::vector<int64_t> told_us(N);
+	std::mt19937_64 random(7);
+	std::exponential_distribution<> gap(6 * RATE / N / COST);
+	std::vector<double> next_s(N);
+	World sum(1);
+	int messages = 0;
+
+	for (int i = 0; i < N; i++) {
+		host[i].s->slack = 0.4 * SLACK;
+		share_account_set(host[i].s.get(), "a", RATE, BURST, -10 * S);
+		told_us[i] = -(int64_t)(random() % 650000);
+		next_s[i] = gap(random);
+		for (int to = 0; to < N; to++)
+			if (to != i)
+				share_host_heard(host[to].s.get(),
+						 std::to_string(i).c_str(), 1,
+						 0);
+	}
+	for (int i = 0; i < N; i++)
+		for (int to = 0; to < N; to++)
+			if (to != i)
+				share_heard(host[to].s.get(),
+					    share_host_heard(
+						    host[to].s.get(),
+						    std::to_string(i).c_str(),
+						    1, 0),
+					    "a", 0, 0);
+	for (int64_t now = 0; now < 20 * S; now += 10000) {
+		for (int i = 0; i < N; i++) {
+			struct share *s = host[i].s.get();
+
+			for (; next_s[i] * S < now; next_s[i] += gap(random))
+				if (share_spend(s, "a", COST, now))
+					sum.spent.push_back({now, COST});
+			if (now - told_us[i] < 650000 &&
+			    !(now - told_us[i] >= 200000 &&
+			      share_is_scarce(s, now)))
+				continue;
+			told_us[i] = now;
+			share_told(s);
+			messages++;
+			for (int to = 0; to < N; to++) {
+				struct share *t = host[to].s.get();
+
+				if (to != i)
+					share_heard(t,
+						    share_host_heard(
+							    t,
+							    std::to_string(i)
+								    .c_str(),
+							    1, now),
+						    "a", s->account[0].spent,
+						    now);
+			}
+		}
+	}
+	/* The rest of the slack is for lost messages and slow hosts. */
+	EXPECT_LE(sum.most_in(8 * S), ALLOWED + 0.4 * SLACK);
+	EXPECT_GE(sum.most_in(8 * S), 8 * RATE) << "the rate is used";
+	EXPECT_LE(messages, N * 20 * 5) << "five a second at most";
+}
+
 TEST(Share, HoldsWhileHostsAreCutOffFromEachOther)
 {
 	for (uint64_t seed = 1; seed <= 20; seed++) {
