--- a/cmd/figbend/cancel_control.c
+++ b/cmd/figbend/cancel_control.c
@@ -164,8 +164,9 @@
 }
 
 /*
- * Cancels what an endpoint reports as running for hosts that are no longer there;
- * one that we admit to, or one of a domain whose hosts are all gone. A process that the epoch does not hold yet gets a while.
+ * Cancels what an endpoint reports as running for hosts that are no longer there:
+ * an endpoint that we admit to, or one of a domain whose hosts are all gone. A
+ * process that the epoch does not hold yet gets a while.
  */
 void cancel_control_report(struct daemon *d, const char *addr,
 			   const struct engine_load *l)
