suspects: a crash that shows before its connections close counts too

Its log shows endpoint_gone of an endpoint, then the broken run: a run was kept until news of its endpoint came, and news that had come before was never looked at. Ruled out: a count that is too low (held=1 came with the third confirmed crash). Change: a run that breaks off at an endpoint that is off the list, and did not say that it leaves, counts at once.

--- a/cmd/figbend/gateway/suspects.c
+++ b/cmd/figbend/gateway/suspects.c
@@ -52,6 +52,9 @@
 	b->at_us = gateway_now_us(g);
 	snprintf(b->endpoint, sizeof(b->endpoint), "%s", r->endpoint->says.id);
 	snprintf(b->request, sizeof(b->request), "%s", r->call.id);
+	/* News of the crash may come before its connection closes. */
+	if (!r->endpoint->listed && !r->endpoint->says.leaving)
+		suspects_endpoint_crashed(g, b->endpoint);
 }
 
 /* Counts one run against its request and adds it to what the others hear. */
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -421,9 +421,21 @@
 test_two_hosts_of_a_domain_read_for_the_others.domains = ("a",)
 
 
+async def test_stops_a_request_whose_crash_shows_late(d):
+    """The entry was gone before the connection closed: not counted."""
+    await small(d)
+    for e in plain(d):
+        e.entry_first = True
+    await check_crashing_request(d)
+
+
 async def test_stops_a_request_that_crashes_endpoints(d):
     """Its caller sends it again, to any host."""
     await small(d)
+    await check_crashing_request(d)
+
+
+async def check_crashing_request(d):
     statuses = []
     for n in range(6):
         statuses.append((await d.ask("safe", host=n % 2, body=b"poison"))[1]
--- a/test/pools/standins.py
+++ b/test/pools/standins.py
@@ -254,6 +254,9 @@
             await asyncio.sleep(3600)
         if b"poison" in body and headers.get("serving-stage") != "prefill":
             self.ran.append(rid)
+            if self.entry_first:
+                self.store.put("keyed.servers", self.name, None)
+                await asyncio.sleep(0.1)
             self.restart = asyncio.ensure_future(self.crash())
             return False
         if fault == "reset":
@@ -289,6 +292,7 @@
     others = []
     store = None
     restart = None
+    entry_first = False  # at a crash its entry goes before its connections
 
     async def crash(self):
         """Ends with all that it runs, and is back as a new start."""
