jread, pool_settings: errors that overflow, show the secret or round a count

Ruled out: other callers of jread_errorf with a length of their own; there are none. Change: a path that fills the message ends it; the secret is decoded from the value itself and its error shows nothing; a count with a fraction is an error. Before: jread_test ends in munmap_chunk(): invalid pointer, two of four cases of pool_settings_test fail. After: all pass.

--- a/pkg/jread/jread.c
+++ b/pkg/jread/jread.c
@@ -52,6 +52,8 @@
 		return;
 	message = errors->message[errors->n++];
 	n = snprintf(message, JREAD_ERROR_BYTES, "%s: ", path);
+	if (n < 0 || n >= JREAD_ERROR_BYTES)
+		return;
 	va_start(ap, format);
 	vsnprintf(message + n, JREAD_ERROR_BYTES - n, format, ap);
 	va_end(ap);
--- a/pkg/pool_settings/pool_settings.c
+++ b/pkg/pool_settings/pool_settings.c
@@ -1,6 +1,7 @@
 #include "pool_settings.h"
 
 #include <errno.h>
+#include <math.h>
 #include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
@@ -72,6 +73,8 @@
 		if (!jread_require(root, r->key, &node))
 			return;
 		v = jread_double_or(root, r->key, 0, r->min, r->max);
+		if (r->type == ROW_UINT32 && v != floor(v))
+			jread_error_expected(&node, "an integer");
 		if (r->type == ROW_UINT32)
 			*(uint32_t *)out = (uint32_t)v;
 		else
@@ -79,17 +82,21 @@
 	}
 }
 
-/* The error for invalid digits does not show the secret. */
+/* No error shows the value, since it may be the secret with a typing error. */
 static void read_secret(struct jread_node *root, struct pool_settings *s)
 {
-	char text[2 * POOL_SETTINGS_SECRET_BYTES + 1];
 	struct jread_node node;
+	const char *text, *end;
 	size_t n = 0;
 
-	jread_string(root, "secret", text, sizeof(text));
-	sodium_hex2bin(s->secret, sizeof(s->secret), text, strlen(text), NULL,
-		       &n, NULL);
-	if (n != sizeof(s->secret) && jread_member(root, "secret", &node))
+	if (!jread_require(root, "secret", &node))
+		return;
+	text = json_object_is_type(node.value, json_type_string)
+		       ? json_object_get_string(node.value)
+		       : "";
+	if (sodium_hex2bin(s->secret, sizeof(s->secret), text, strlen(text),
+			   NULL, &n, &end) < 0 ||
+	    n != sizeof(s->secret) || *end)
 		jread_errorf(node.errors, node.path,
 			     "expected 64 hexadecimal digits");
 }
