--- a/cmd/figbend/daemon.c
+++ b/cmd/figbend/daemon.c
@@ -85,6 +85,8 @@
 	case FIG_ROOM:
 	case FIG_SHARE:
 	case FIG_RECORDS_GET:
+	case FIG_ROWS:
+	case FIG_DIGEST:
 		break;
 	}
 	return -EPROTO;
@@ -116,6 +118,8 @@
 	case FIG_QUOTA_DRAW:
 	case FIG_SHARE:
 	case FIG_RECORDS_GET:
+	case FIG_ROWS:
+	case FIG_DIGEST:
 		break;
 	}
 }
--- a/cmd/figbend/gateway/gateway.h
+++ b/cmd/figbend/gateway/gateway.h
@@ -16,6 +16,7 @@
 #include "quarantine.h"
 #include "ratelimit.h"
 #include "record.h"
+#include "relay.h"
 #include "stats.h"
 
 /*
@@ -40,6 +41,7 @@
 	struct h1_buf body;	     /* response body received so far */
 	uint16_t status;  /* HTTP status of the response; 0 before its head */
 	bool in_snapshot; /* reads pages of the snapshot, not records */
+	bool domain_page; /* reads the page with the hosts of this domain */
 	bool reissued;	  /* the read was sent again, as this host lagged */
 	/* The next read is made even by a passive reader, and does not wait. */
 	bool poll_now;
@@ -54,23 +56,6 @@
 	uint32_t failures;    /* consecutive */
 };
 
-/* heartbeat.c: another host. */
-struct gateway_peer {
-	TAILQ_ENTRY(gateway_peer) entry;
-	char name[POOL_SETTINGS_NAME_BYTES];
-	char addr[POOL_SETTINGS_ADDR_BYTES];
-	int64_t last_heartbeat_us; /* 0 if none was received */
-	/* The peer has all records before these. Hosts exchange records of the
-	 * first FIG_TOPICS streams of enum adapter_topic, so not of hosts. */
-	uint64_t next_offset[FIG_TOPICS];
-	enum fig_following reader_state;       /* see own_reader_state() */
-	char domain[POOL_SETTINGS_NAME_BYTES]; /* "" before a heartbeat */
-	bool fetching; /* a call to it for records is in progress */
-	struct gateway_peer_load *load; /* its requests at endpoints; owned */
-	uint32_t n_loads;
-};
-TAILQ_HEAD(gateway_peers, gateway_peer);
-
 struct cleanup;
 TAILQ_HEAD(cleanups, cleanup);
 
@@ -115,7 +100,6 @@
 	struct records records[ADAPTER_TOPICS];
 	struct directory *directory;	      /* NULL before the first one */
 	struct h1_exchange register_exchange; /* writes this host's record */
-	struct h1_buf put_answer;	      /* unused */
 	ev_timer register_timer; /* repeats the write until it succeeds */
 	bool registered;	 /* the last write succeeded */
 
@@ -130,9 +114,9 @@
 
 	/* heartbeat.c; req.c and store_reader.c also write ratelimit */
 	struct peer peer;
-	struct gateway_peers peers;
+	struct relay relay;
 	ev_timer heartbeat_timer;
-	int64_t heartbeat_sent_us; /* last heartbeat to all hosts */
+	bool loads_changed; /* since heartbeat_update_loads() */
 	struct ratelimit ratelimit;
 	/* When the last other domain became unreachable; 0 if one is reachable
 	 * or none is known. */
@@ -216,13 +200,17 @@
  */
 int heartbeat_init(struct gateway *g);
 void heartbeat_finish(struct gateway *g);
-/* Adds a host or updates its address; ignores this host's own name. */
-void heartbeat_add_peer(struct gateway *g, const char *name, const char *addr);
-/* Removes a host whose record was deleted; ignores an unknown name. */
-void heartbeat_remove_peer(struct gateway *g, const char *name);
+/* Writes the key of this host's record. */
+void heartbeat_host_key(const struct gateway *g, char *out, size_t size);
+/* Adds the host of a record, or updates its address; ignores this host. */
+void heartbeat_add_peer(struct gateway *g, const char *key, const char *addr);
+/* Removes a host whose record was deleted; ignores an unknown one. */
+void heartbeat_remove_peer(struct gateway *g, const char *key);
+/* Brings the loads of other hosts at all endpoints of the fleet up to date. */
+void heartbeat_update_loads(struct gateway *g);
 /*
- * Counts this host, and the peers that read the streams themselves according to
- * a heartbeat of the last 2 s.
+ * Counts this host, and the others that read the streams themselves according to
+ * a message of the last 2 s.
  */
 uint32_t heartbeat_count_readers(const struct gateway *g);
 /*
@@ -230,9 +218,9 @@
  * that this host need not.
  */
 bool heartbeat_may_be_passive(const struct gateway *g);
-/* Seconds between heartbeats to all hosts; more with many hosts. */
+/* Age of what is known of other hosts, as the interval of their reports. */
 double heartbeat_interval_s(const struct gateway *g);
-/* Sends a heartbeat to the hosts of the domain now, before it is due. */
+/* Tells the hosts of the domain that this host has new records. */
 void heartbeat_send_domain(struct gateway *g);
 /* Sends a one-way message to all known hosts; it may be lost. */
 void heartbeat_broadcast(struct gateway *g, const struct fig_call *call);
--- a/cmd/figbend/gateway/heartbeat.c
+++ b/cmd/figbend/gateway/heartbeat.c
@@ -8,237 +8,153 @@
 #include "logline.h"
 
 /*
- * The peers of this host and the heartbeats exchanged with them. A heartbeat
- * carries what this host has consumed of each account's rate limit, the
- * requests that it runs at endpoints, and the offsets that it has reached in
- * the store's streams. A host that cannot read the store, or leaves that to
- * others, fetches the records from a peer that has them.
+ * The other hosts and the messages exchanged with them. pkg/relay decides what
+ * is sent to whom, and what this host knows of the others; here it is carried
+ * over the network and put into effect. A host that cannot read the store, or
+ * leaves that to others, fetches the records from a host that has them.
  */
 
-/* Heartbeat interval with few hosts. Rate limits can be exceeded by what the
- * hosts admit within an interval. */
-#define INTERVAL_MIN_S 0.2
-/* With many hosts the interval is this times their number, so that a host
- * receives about 100 regular heartbeats per second. */
-#define INTERVAL_PER_HOST_S 0.01
-/* A heartbeat may be sent this much before its interval is over, because timers
- * fire a little early or late. */
-#define TIMER_TOLERANCE_US 50000LL
-/* A host is unreachable after this many intervals without a heartbeat.
- * Heartbeats are UDP datagrams: some may be lost. */
-#define TIMEOUT_INTERVALS 5
-/* Loads and reader state that a peer reported are ignored after this time. */
-#define STALE_US 2000000LL
-/* A peer is removed after this time without heartbeats. Its next heartbeat, or
- * a newer record of it in the store, adds it again. */
-#define REMOVE_US 20000000LL
 /* Part of limit_slack that is added to every burst, so that consumption which
  * is not yet reported to all hosts causes no refusal within the limit. */
 #define BURST_SLACK_PART 0.4
-/* Hosts of a domain that read the store's streams for the whole domain. */
-#define READERS_PER_DOMAIN 2
+/* What is known through delegates is about as old as reports in a mesh with
+ * this interval. */
+#define DELEGATES_INTERVAL_S 0.4
+#define MESH_INTERVAL_PER_HOST_S 0.01
 #define FETCH_TIMEOUT_MS 800
+/* Separates the domain from the name in the key of a host's record. */
+#define KEY_SEPARATOR '/'
 
-/* The requests of a peer at one endpoint, as it last reported them. */
-struct gateway_peer_load {
-	struct fleet_endpoint *endpoint;
-	uint32_t running;
-	uint32_t kv_tokens;
-	uint32_t prefill_tokens;
-};
-
-static struct gateway_peer *find(struct gateway *g, const char *name)
+/* See gateway.h. */
+bool heartbeat_may_be_passive(const struct gateway *g)
 {
-	struct gateway_peer *p;
-
-	TAILQ_FOREACH(p, &g->peers, entry)
-	if (strcmp(p->name, name) == 0)
-		return p;
-	return NULL;
+	return relay_has_reader(&g->relay, gateway_now_us(g));
 }
 
-/* Subtracts the loads that a peer reported from those of the endpoints. */
-static void clear_loads(struct gateway_peer *p)
+/* See gateway.h. */
+uint32_t heartbeat_count_readers(const struct gateway *g)
 {
-	uint32_t i;
-
-	for (i = 0; i < p->n_loads; i++) {
-		struct gateway_peer_load *l = &p->load[i];
-
-		l->endpoint->peer_running -= l->running;
-		l->endpoint->peer_kv_tokens -= l->kv_tokens;
-		l->endpoint->peer_prefill_tokens -= l->prefill_tokens;
-		fleet_unref(l->endpoint);
-	}
-	free(p->load);
-	p->load = NULL;
-	p->n_loads = 0;
+	return relay_count_readers(&g->relay, gateway_now_us(g));
 }
 
-/* Replaces the loads of a peer by those of its heartbeat. */
-static void set_loads(struct gateway *g, struct gateway_peer *p,
-		      const struct fig_share *s)
+/* See gateway.h. */
+void heartbeat_host_key(const struct gateway *g, char *out, size_t size)
 {
-	uint32_t i;
-
-	clear_loads(p);
-	p->load = calloc(s->load.load_len + 1, sizeof(*p->load));
-	if (!p->load)
-		return;
-	for (i = 0; i < s->load.load_len; i++) {
-		const struct fig_load *reported = &s->load.load_val[i];
-		struct fleet_endpoint *e =
-			fleet_find(&g->fleet, reported->endpoint);
-		struct gateway_peer_load *l = &p->load[p->n_loads];
-
-		if (!e)
-			continue;
-		l->endpoint = fleet_ref(e);
-		l->running = reported->running;
-		l->kv_tokens = reported->tokens;
-		l->prefill_tokens = reported->prompt_tokens;
-		e->peer_running += l->running;
-		e->peer_kv_tokens += l->kv_tokens;
-		e->peer_prefill_tokens += l->prefill_tokens;
-		p->n_loads++;
-	}
+	snprintf(out, size, "%s%c%s", g->settings->domain, KEY_SEPARATOR,
+		 g->settings->host);
 }
 
-static bool reads_store(const struct gateway_peer *p, int64_t now_us)
+/* Splits the key of a host's record; domain is "" if the key has none. */
+static const char *split_key(const char *key, char *domain, size_t size)
 {
-	return p->last_heartbeat_us &&
-	       now_us - p->last_heartbeat_us < STALE_US &&
-	       p->reader_state == FIG_FOLLOWS;
+	const char *separator = strchr(key, KEY_SEPARATOR);
+
+	domain[0] = '\0';
+	if (!separator)
+		return key;
+	snprintf(domain, size, "%.*s", (int)(separator - key), key);
+	return separator + 1;
 }
 
 /* See gateway.h. */
-uint32_t heartbeat_count_readers(const struct gateway *g)
+void heartbeat_add_peer(struct gateway *g, const char *key, const char *addr)
 {
-	int64_t now_us = gateway_now_us(g);
-	const struct gateway_peer *p;
-	uint32_t n = 1;
+	char domain[RELAY_NAME_BYTES];
+	const char *name = split_key(key, domain, sizeof(domain));
 
-	TAILQ_FOREACH(p, &g->peers, entry)
-	n += reads_store(p, now_us);
-	return n;
+	if (relay_add(&g->relay, name, domain, addr, gateway_now_us(g)))
+		logline(LOG_NOTICE, "host_found", "host=%s domain=%s addr=%s",
+			name, domain, addr);
 }
 
-/* See gateway.h. The hosts whose names sort first are the readers. */
-bool heartbeat_may_be_passive(const struct gateway *g)
+/* See gateway.h. */
+void heartbeat_remove_peer(struct gateway *g, const char *key)
 {
-	int64_t now_us = gateway_now_us(g);
-	const struct gateway_peer *p;
-	uint32_t n = 0;
-
-	TAILQ_FOREACH(p, &g->peers, entry)
-	n += reads_store(p, now_us) &&
-	     strcmp(p->domain, g->settings->domain) == 0 &&
-	     strcmp(p->name, g->settings->host) < 0;
-	return n >= READERS_PER_DOMAIN;
-}
+	char domain[RELAY_NAME_BYTES];
+	const char *name = split_key(key, domain, sizeof(domain));
 
-static void update_host_count(struct gateway *g)
-{
-	g->fleet.hosts = ratelimit_host_count(&g->ratelimit);
+	if (relay_remove(&g->relay, name))
+		logline(LOG_NOTICE, "host_gone", "host=%s", name);
 }
 
 /* See gateway.h. */
-void heartbeat_add_peer(struct gateway *g, const char *name, const char *addr)
+void heartbeat_update_loads(struct gateway *g)
 {
-	struct gateway_peer *p = find(g, name);
+	int64_t now_us = gateway_now_us(g);
+	struct fleet_endpoint *e;
+	uint32_t tokens;
 
-	if (strcmp(name, g->settings->host) == 0)
+	if (!g->loads_changed)
 		return;
-	if (!p) {
-		p = calloc(1, sizeof(*p));
-		if (!p)
-			return;
-		snprintf(p->name, sizeof(p->name), "%s", name);
-		TAILQ_INSERT_TAIL(&g->peers, p, entry);
-		logline(LOG_NOTICE, "host_found", "host=%s addr=%s", name,
-			addr);
+	g->loads_changed = false;
+	TAILQ_FOREACH(e, &g->fleet.list, link)
+	{
+		relay_get_load(&g->relay, e->key, now_us, &e->peer_running,
+			       &tokens);
+		e->peer_kv_tokens = e->entry.stage == FLEET_PREFILL ? 0
+								    : tokens;
+		e->peer_prefill_tokens =
+			e->entry.stage == FLEET_PREFILL ? tokens : 0;
 	}
-	snprintf(p->addr, sizeof(p->addr), "%s", addr);
 }
 
-static void remove_peer(struct gateway *g, struct gateway_peer *p)
-{
-	logline(LOG_NOTICE, "host_gone", "host=%s", p->name);
-	clear_loads(p);
-	ratelimit_host_remove(&g->ratelimit, p->name);
-	TAILQ_REMOVE(&g->peers, p, entry);
-	/* The next tick marks the domain again if it has other known hosts, and
-	 * none of them is reachable. */
-	fleet_set_unreachable(&g->fleet, p->domain, false);
-	free(p);
-	update_host_count(g);
-}
-
-/* See gateway.h. */
-void heartbeat_remove_peer(struct gateway *g, const char *name)
-{
-	struct gateway_peer *p = find(g, name);
-
-	if (p)
-		remove_peer(g, p);
-}
-
-/* A call for records; the peer may be removed before the response. */
+/* A call for records; the host may be removed before the response. */
 struct fetch {
 	struct gateway *g;
-	char name[POOL_SETTINGS_NAME_BYTES];
+	char name[RELAY_NAME_BYTES];
 };
 
 static void on_records(void *ctx, int error, const struct fig_reply *reply)
 {
 	struct fetch *f = ctx;
 	struct gateway *g = f->g;
-	struct gateway_peer *p = find(g, f->name);
+	struct relay_host *h = relay_find(&g->relay, f->name);
 	const struct fig_records_got *got;
 	uint32_t i;
 
-	if (p)
-		p->fetching = false;
-	free(f);
-	if (error || !reply)
+	if (h)
+		h->fetching = false;
+	if (error || !reply) {
+		free(f);
 		return;
+	}
 	got = &reply->fig_reply_u.records_got;
-	if (got->topic >= FIG_TOPICS)
-		return;
-	for (i = 0; i < got->record.record_len; i++) {
+	for (i = 0; got->topic < FIG_STREAMS && i < got->record.record_len;
+	     i++) {
 		const struct fig_record *r = &got->record.record_val[i];
 
 		store_reader_apply(g, (enum adapter_topic)got->topic, r->key,
 				   r->gone ? NULL : r->value.value_val,
-				   r->value.value_len, r->offset,
-				   p ? p->name : "host");
+				   r->value.value_len, r->offset, f->name);
 	}
-	if (got->upto > g->records[got->topic].next_offset)
+	if (got->topic < FIG_STREAMS &&
+	    got->upto > g->records[got->topic].next_offset)
 		g->records[got->topic].next_offset = got->upto;
+	free(f);
 }
 
-/* Fetches records from a peer if this host lacks them, one topic at a time. */
-static void fetch_if_behind(struct gateway *g, struct gateway_peer *p)
+/* Fetches records from a host if this one lacks them, one stream at a time. */
+static void fetch_if_behind(struct gateway *g, struct relay_host *h)
 {
 	struct fig_call call = {.kind = FIG_RECORDS_GET};
 	struct fetch *f;
 	int t;
 
-	for (t = 0; t < FIG_TOPICS && !p->fetching; t++) {
+	for (t = 0; t < FIG_STREAMS && !h->fetching; t++) {
 		if (!store_reader_check_lag(g, (enum adapter_topic)t,
-					    p->next_offset[t]))
+					    h->next_offset[t]))
 			continue;
 		f = calloc(1, sizeof(*f));
 		if (!f)
 			return;
 		f->g = g;
-		snprintf(f->name, sizeof(f->name), "%s", p->name);
+		snprintf(f->name, sizeof(f->name), "%s", h->name);
 		call.fig_call_u.records_get.topic = (u_int)t;
 		call.fig_call_u.records_get.from = g->records[t].next_offset;
-		p->fetching = true;
-		if (peer_call(&g->peer, p->addr, &call, FETCH_TIMEOUT_MS,
+		h->fetching = true;
+		if (peer_call(&g->peer, h->addr, &call, FETCH_TIMEOUT_MS,
 			      on_records, f) < 0) {
-			p->fetching = false;
+			h->fetching = false;
 			free(f);
 		}
 	}
@@ -255,7 +171,7 @@
 	struct fig_record *row;
 	uint32_t i;
 
-	if (get->topic >= FIG_TOPICS)
+	if (get->topic >= FIG_STREAMS)
 		return -EINVAL;
 	r = &g->records[get->topic];
 	got->topic = get->topic;
@@ -292,63 +208,57 @@
 			    &reply->fig_reply_u.records_got);
 }
 
-static void on_message(void *ctx, const struct wire_opened *from)
-{
-	struct gateway *g = ctx;
-	const struct fig_share *s = &from->call.fig_call_u.share;
-	int64_t now_us = gateway_now_us(g);
-	struct gateway_peer *p;
-	uint32_t i;
-	int host;
-
-	if (from->call.kind == FIG_CRASH)
-		crash_apply_report(g, &from->call.fig_call_u.crash);
-	if (from->call.kind != FIG_SHARE)
-		return;
-	stats_add(&g->stats, STATS_PEER_MESSAGES, 1);
-	heartbeat_add_peer(g, from->sender, s->addr);
-	p = find(g, from->sender);
-	if (!p)
-		return;
-	p->last_heartbeat_us = now_us;
-	memcpy(p->next_offset, s->upto, sizeof(p->next_offset));
-	p->reader_state = (enum fig_following)s->following;
-	snprintf(p->domain, sizeof(p->domain), "%s", s->domain);
-	host = ratelimit_host_update(&g->ratelimit, p->name, from->boot,
-				     now_us);
-	for (i = 0; host >= 0 && i < s->spent.spent_len; i++)
-		ratelimit_apply_report(&g->ratelimit, host,
-				       s->spent.spent_val[i].account,
-				       s->spent.spent_val[i].amount, now_us);
-	set_loads(g, p, s);
-	update_host_count(g);
-	fetch_if_behind(g, p);
-}
-
 /*
- * Returns what the heartbeats report of this host's readers of operators and
- * endpoints: FIG_FOLLOWS if both read the store. Otherwise the first one that
- * does not decides: FIG_LEAVES_IT if it is passive, FIG_TURNED_AWAY if its
- * reads fail or none has succeeded yet.
+ * Returns what messages report of this host's readers of the store's streams:
+ * FIG_FOLLOWS if all read the store. Otherwise the first one that does not
+ * decides: FIG_LEAVES_IT if it is passive, FIG_TURNED_AWAY if its reads fail or
+ * none has succeeded yet.
  */
 static enum fig_following own_reader_state(const struct gateway *g)
 {
 	int t;
 
-	for (t = 0; t < FIG_TOPICS; t++) {
-		if (g->reader[t].failures || !g->reader[t].last_ok_us)
+	for (t = 0; t < FIG_STREAMS; t++) {
+		if (g->reader[t].failures)
 			return FIG_TURNED_AWAY;
 		if (g->reader[t].passive)
 			return FIG_LEAVES_IT;
+		if (!g->reader[t].last_ok_us || g->reader[t].in_snapshot)
+			return FIG_TURNED_AWAY;
 	}
 	return FIG_FOLLOWS;
 }
 
+/* Tells the relay this host's own loads and offsets; load is its memory. */
+static void set_self(struct gateway *g, struct relay_load *load)
+{
+	struct relay_self self = {.load = load,
+				  .waiting = g->n_waiting,
+				  .counter = g->peer.sealer.counter,
+				  .reader_state = own_reader_state(g)};
+	struct fleet_endpoint *e;
+	int t;
+
+	for (t = 0; t < FIG_STREAMS; t++)
+		self.next_offset[t] = g->records[t].next_offset;
+	TAILQ_FOREACH(e, &g->fleet.list, link)
+	{
+		if ((!e->running && !e->prefill_tokens) ||
+		    self.n_loads == FIG_LOADS_MAX)
+			continue;
+		load[self.n_loads].endpoint = e->key;
+		load[self.n_loads].running = e->running;
+		load[self.n_loads++].tokens =
+			(uint32_t)e->kv_tokens + e->prefill_tokens;
+	}
+	relay_set_self(&g->relay, &self);
+}
+
 /*
- * Fills a heartbeat. The strings are borrowed; the caller frees the arrays,
- * also on an error. Returns 0 or -ENOMEM.
+ * Fills a report of this host. The strings are borrowed; the caller frees the
+ * arrays, also on an error. Returns 0 or -ENOMEM.
  */
-static int fill_heartbeat(struct gateway *g, struct fig_share *s)
+static int fill_report(struct gateway *g, struct fig_share *s)
 {
 	struct fleet_endpoint *e;
 	uint32_t i;
@@ -359,6 +269,9 @@
 	s->following = own_reader_state(g);
 	for (i = 0; i < FIG_TOPICS; i++)
 		s->upto[i] = g->records[i].next_offset;
+	s->hosts_upto = g->records[ADAPTER_HOSTS].next_offset;
+	s->uptime_ms = (uint64_t)(gateway_now_us(g) - g->relay.start_us) / 1000;
+	s->waiting = g->n_waiting;
 	s->spent.spent_val = calloc(g->ratelimit.n_accounts + 1,
 				    sizeof(*s->spent.spent_val));
 	s->load.load_val =
@@ -369,11 +282,11 @@
 		struct ratelimit_account *a = &g->ratelimit.account[i];
 		struct fig_spent *row;
 
-		if (!a->consumed)
+		if (a->consumed <= 0)
 			continue;
 		row = &s->spent.spent_val[s->spent.spent_len++];
 		row->account = a->name;
-		row->amount = a->consumed;
+		row->amount = (uint64_t)a->consumed;
 	}
 	TAILQ_FOREACH(e, &g->fleet.list, link)
 	{
@@ -391,56 +304,116 @@
 	return 0;
 }
 
-static bool is_reachable(const struct gateway *g, const struct gateway_peer *p)
+static void send_report(struct gateway *g, const char *addr, bool asks)
 {
-	return p->last_heartbeat_us &&
-	       gateway_now_us(g) - p->last_heartbeat_us <
-		       g->ratelimit.host_timeout_us;
+	struct fig_call call = {.kind = FIG_SHARE};
+	struct fig_share *s = &call.fig_call_u.share;
+
+	if (fill_report(g, s) == 0) {
+		s->asks = asks;
+		peer_send(&g->peer, addr, &call);
+	}
+	free(s->spent.spent_val);
+	free(s->load.load_val);
 }
 
-/* Returns true if any host of the domain is reachable. */
-static bool domain_is_reachable(const struct gateway *g, const char *domain)
+static void send_rows(struct gateway *g, const struct relay_send *send,
+		      uint32_t n)
 {
-	const struct gateway_peer *p;
+	struct fig_call call = {.kind = FIG_ROWS};
+	struct fig_rows *rows = &call.fig_call_u.rows;
+	uint32_t i;
 
-	TAILQ_FOREACH(p, &g->peers, entry)
-	if (is_reachable(g, p) && strcmp(p->domain, domain) == 0)
-		return true;
-	return false;
+	rows->domain = (char *)g->settings->domain;
+	rows->addr = (char *)g->settings->peer_addr;
+	if (relay_fill_rows(&g->relay, rows, gateway_now_us(g)) == 0)
+		for (i = 0; i < n; i++)
+			if (send[i].kind == RELAY_SEND_ROWS)
+				peer_send(&g->peer, send[i].addr, &call);
+	relay_free_rows(rows);
 }
 
-/* Marks each other domain as unreachable if none of its hosts is reachable. */
-static void update_unreachable(struct gateway *g)
+static void send_digest(struct gateway *g, const struct relay_host *to)
 {
-	const struct gateway_peer *p;
+	struct relay_load load[FIG_LOADS_MAX];
+	struct fig_call call = {.kind = FIG_DIGEST};
+	struct fig_digest *d = &call.fig_call_u.digest;
+
+	d->domain = (char *)g->settings->domain;
+	d->addr = (char *)g->settings->peer_addr;
+	set_self(g, load);
+	if (relay_fill_digest(&g->relay, to, d, gateway_now_us(g)) == 0)
+		peer_send(&g->peer, to->addr, &call);
+	relay_free_digest(d);
+}
 
-	TAILQ_FOREACH(p, &g->peers, entry)
-	if (p->domain[0] && strcmp(p->domain, g->settings->domain) != 0)
-		fleet_set_unreachable(&g->fleet, p->domain,
-				      !domain_is_reachable(g, p->domain));
+static void on_message(void *ctx, const struct wire_opened *from)
+{
+	struct gateway *g = ctx;
+	int64_t now_us = gateway_now_us(g);
+	struct relay_host *h = NULL;
+
+	switch (from->call.kind) {
+	case FIG_CRASH:
+		crash_apply_report(g, &from->call.fig_call_u.crash);
+		return;
+	case FIG_SHARE:
+		h = relay_on_report(&g->relay, from->sender, from->boot,
+				    from->counter, &from->call.fig_call_u.share,
+				    now_us);
+		if (h && from->call.fig_call_u.share.asks)
+			send_digest(g, h);
+		break;
+	case FIG_ROWS:
+		h = relay_on_rows(&g->relay, from->sender, from->boot,
+				  from->counter, &from->call.fig_call_u.rows,
+				  now_us);
+		break;
+	case FIG_DIGEST:
+		h = relay_on_digest(&g->relay, from->sender, from->boot,
+				    from->counter,
+				    &from->call.fig_call_u.digest, now_us);
+		break;
+	default:
+		return;
+	}
+	stats_add(&g->stats, STATS_PEER_MESSAGES, 1);
+	g->loads_changed = true;
+	g->fleet.hosts = relay_known(&g->relay, now_us);
+	if (h && h->addr[0])
+		fetch_if_behind(g, h);
+}
+
+/* Returns true if a host of the domain was ever heard of. */
+static bool is_inhabited(const struct relay_domain *d)
+{
+	return d->known || d->digest_known;
 }
 
 /*
- * Sets isolated_since_us when no other domain is reachable any more, and clears
- * it when one is again. While this host is isolated, req.c may start to drain
- * the connections of callers; any change stops that.
+ * Marks the other domains of which no host is alive as unreachable. Sets
+ * isolated_since_us when that holds for all of them, and clears it when it no
+ * longer does. While this host is isolated, req.c may start to drain the
+ * connections of callers; any change stops that.
  */
-static void update_isolated(struct gateway *g)
+static void update_domains(struct gateway *g, int64_t now_us)
 {
-	const struct gateway_peer *p;
-	bool others = false, reachable = false;
+	bool others = false, reachable = false, alive;
+	uint32_t i;
 
-	TAILQ_FOREACH(p, &g->peers, entry)
-	{
-		if (!p->last_heartbeat_us ||
-		    strcmp(p->domain, g->settings->domain) == 0)
+	for (i = 0; i < g->relay.n_domains; i++) {
+		const struct relay_domain *d = &g->relay.domain[i];
+
+		if (d == g->relay.own_domain || !is_inhabited(d))
 			continue;
+		alive = relay_domain_is_alive(&g->relay, d, now_us);
+		fleet_set_unreachable(&g->fleet, d->name, !alive);
 		others = true;
-		reachable = reachable || is_reachable(g, p);
+		reachable = reachable || alive;
 	}
 	if ((others && !reachable) == (g->isolated_since_us != 0))
 		return;
-	g->isolated_since_us = others && !reachable ? gateway_now_us(g) : 0;
+	g->isolated_since_us = others && !reachable ? now_us : 0;
 	logline(LOG_WARNING,
 		g->isolated_since_us ? "domains_lost" : "domains_back",
 		"domain=%s hosts=%u running=%u", g->settings->domain,
@@ -448,85 +421,84 @@
 	g->callers.draining = g->stopping;
 }
 
-/*
- * Drops stale loads, and peers without heartbeats for a long time. A peer from
- * which no heartbeat was ever received stays until its record is deleted.
- */
-static void expire_peers(struct gateway *g)
-{
-	int64_t now_us = gateway_now_us(g);
-	struct gateway_peer *p, *next;
-
-	for (p = TAILQ_FIRST(&g->peers); p; p = next) {
-		next = TAILQ_NEXT(p, entry);
-		if (p->last_heartbeat_us &&
-		    now_us - p->last_heartbeat_us > STALE_US)
-			clear_loads(p);
-		if (p->last_heartbeat_us &&
-		    now_us - p->last_heartbeat_us > REMOVE_US)
-			remove_peer(g, p);
-	}
-}
-
-/* Sends a heartbeat to all peers, or only to those of this host's domain. */
-static void send_heartbeats(struct gateway *g, bool domain_only)
-{
-	struct fig_call call = {.kind = FIG_SHARE};
-	struct fig_share *s = &call.fig_call_u.share;
-	struct gateway_peer *p;
-
-	if (fill_heartbeat(g, s) == 0)
-		TAILQ_FOREACH(p, &g->peers, entry)
-	if (!domain_only || strcmp(p->domain, g->settings->domain) == 0)
-		peer_send(&g->peer, p->addr, &call);
-	free(s->spent.spent_val);
-	free(s->load.load_val);
-}
-
 /* See gateway.h. */
 void heartbeat_broadcast(struct gateway *g, const struct fig_call *call)
 {
-	struct gateway_peer *p;
+	uint32_t i;
 
-	TAILQ_FOREACH(p, &g->peers, entry)
-	peer_send(&g->peer, p->addr, call);
+	for (i = 0; i < g->relay.n_hosts; i++)
+		if (g->relay.host[i]->addr[0])
+			peer_send(&g->peer, g->relay.host[i]->addr, call);
 }
 
-/* See gateway.h. */
+/* See gateway.h. With delegates their digests tell it. */
 void heartbeat_send_domain(struct gateway *g)
 {
-	send_heartbeats(g, true);
+	const struct relay_domain *d = g->relay.own_domain;
+	uint32_t i;
+
+	if (g->relay.mode != RELAY_MESH)
+		return;
+	for (i = 0; i < d->n; i++)
+		if (d->host[i]->addr[0])
+			send_report(g, d->host[i]->addr, false);
 }
 
 /* See gateway.h. */
 double heartbeat_interval_s(const struct gateway *g)
 {
-	double s = INTERVAL_PER_HOST_S * ratelimit_host_count(&g->ratelimit);
+	double s = MESH_INTERVAL_PER_HOST_S * (g->relay.n_hosts + 1);
 
-	return s > INTERVAL_MIN_S ? s : INTERVAL_MIN_S;
+	if (g->relay.mode != RELAY_MESH)
+		return DELEGATES_INTERVAL_S;
+	return s > RELAY_REPORT_US / 1e6 ? s : RELAY_REPORT_US / 1e6;
+}
+
+static void log_mode(const struct gateway *g, enum relay_mode before)
+{
+	static const char *const names[] = {[RELAY_MESH] = "mesh",
+					    [RELAY_MEMBER] = "member",
+					    [RELAY_DELEGATE] = "delegate"};
+	int64_t now_us = gateway_now_us(g);
+
+	if (g->relay.mode != before)
+		logline(LOG_NOTICE, "relay",
+			"mode=%s before=%s hosts=%u alive=%u age_ms=%lld",
+			names[g->relay.mode], names[before],
+			relay_known(&g->relay, now_us),
+			relay_living(&g->relay, now_us),
+			(long long)relay_age_us(&g->relay, now_us) / 1000);
 }
 
-/*
- * Sends a heartbeat when the interval is over. While a bucket with unreported
- * consumption is less than half full, it sends one at each tick of
- * INTERVAL_MIN_S: what all hosts admit between heartbeats adds up.
- */
 static void on_heartbeat_timer(struct ev_loop *loop, ev_timer *w, int events)
 {
 	struct gateway *g = w->data;
-	int64_t now_us = gateway_now_us(g);
-	int64_t interval_us = (int64_t)(heartbeat_interval_s(g) * 1e6);
-
-	g->ratelimit.host_timeout_us = TIMEOUT_INTERVALS * interval_us;
-	update_unreachable(g);
-	update_isolated(g);
-	expire_peers(g);
-	if (now_us - g->heartbeat_sent_us < interval_us - TIMER_TOLERANCE_US &&
-	    !ratelimit_report_urgent(&g->ratelimit, now_us))
-		return;
-	g->heartbeat_sent_us = now_us;
-	send_heartbeats(g, false);
-	ratelimit_mark_reported(&g->ratelimit);
+	struct relay_load load[FIG_LOADS_MAX];
+	struct relay_send send[RELAY_SENDS_MAX];
+	enum relay_mode before = g->relay.mode;
+	int64_t now_us = gateway_now_us(g), age_us;
+	bool rows = false;
+	uint32_t i, n;
+
+	n = relay_tick(&g->relay, now_us, send);
+	g->loads_changed = true;
+	g->fleet.hosts = relay_known(&g->relay, now_us);
+	log_mode(g, before);
+	update_domains(g, now_us);
+	for (i = 0; i < n; i++)
+		if (send[i].kind == RELAY_SEND_REPORT)
+			send_report(g, send[i].addr, send[i].asks);
+		else
+			rows = true;
+	if (rows) {
+		set_self(g, load);
+		send_rows(g, send, n);
+	}
+	age_us = relay_age_us(&g->relay, now_us);
+	if (age_us >= 0)
+		stats_observe(&g->stats, STATS_KNOWLEDGE_AGE_S, age_us);
+	g->stats.counter[STATS_PEER_BYTES] =
+		g->peer.counters.sent_bytes + g->peer.counters.received_bytes;
 }
 
 /* See gateway.h. */
@@ -534,32 +506,29 @@
 {
 	int r;
 
-	TAILQ_INIT(&g->peers);
 	ratelimit_init(&g->ratelimit);
 	g->ratelimit.slack = g->settings->limit_slack * BURST_SLACK_PART;
+	r = relay_init(&g->relay, g->settings->host, g->settings->domain,
+		       g->boot_us, &g->ratelimit, gateway_now_us(g));
+	if (r < 0)
+		return r;
 	r = peer_init(&g->peer, g->loop, g->settings->peer_addr,
 		      g->settings->host, g->settings->secret, g->boot_us,
 		      on_call, on_message, g);
 	if (r < 0)
 		return r;
-	ev_timer_init(&g->heartbeat_timer, on_heartbeat_timer, INTERVAL_MIN_S,
-		      INTERVAL_MIN_S);
+	ev_timer_init(&g->heartbeat_timer, on_heartbeat_timer,
+		      RELAY_ROWS_US / 1e6, RELAY_ROWS_US / 1e6);
 	g->heartbeat_timer.data = g;
 	ev_timer_start(g->loop, &g->heartbeat_timer);
 	return 0;
 }
 
-/* Stops the heartbeats and frees all peers. */
+/* Stops the messages and forgets all hosts. */
 void heartbeat_finish(struct gateway *g)
 {
-	struct gateway_peer *p;
-
 	ev_timer_stop(g->loop, &g->heartbeat_timer);
-	while ((p = TAILQ_FIRST(&g->peers)) != NULL) {
-		clear_loads(p);
-		TAILQ_REMOVE(&g->peers, p, entry);
-		free(p);
-	}
 	peer_finish(&g->peer);
+	relay_finish(&g->relay);
 	ratelimit_finish(&g->ratelimit);
 }
--- a/cmd/figbend/gateway/plain.c
+++ b/cmd/figbend/gateway/plain.c
@@ -138,6 +138,7 @@
 	struct fleet_endpoint *e;
 
 	memcpy(query.excluded, r->excluded, sizeof(query.excluded));
+	heartbeat_update_loads(g);
 	e = fleet_choose(&g->fleet, &query, now_us, &result);
 	/* An endpoint that failed once is better than none. */
 	if (!e && r->n_excluded) {
--- a/cmd/figbend/gateway/pools.c
+++ b/cmd/figbend/gateway/pools.c
@@ -603,6 +603,7 @@
 		query.headroom_tokens = (uint32_t)(LATE_HEADROOM_SHARE *
 						   query.kv_capacity_tokens);
 	memcpy(query.excluded, r->excluded, sizeof(query.excluded));
+	heartbeat_update_loads(g);
 	e = fleet_choose(&g->fleet, &query, now_us, &result);
 	if (!e) {
 		if (r->response_started ||
--- a/cmd/figbend/gateway/store_reader.c
+++ b/cmd/figbend/gateway/store_reader.c
@@ -16,10 +16,11 @@
  * hosts end at different times, so the more hosts read, the longer a poll may
  * wait.
  *
- * Two hosts of a domain read the streams of endpoints and operators. The others
- * are passive: they fetch records of endpoints from peers, and read the
- * operators' stream when a peer is ahead in it. Every host reads the hosts'
- * stream, by snapshots only.
+ * Two hosts of a domain read the streams. The others are passive: they fetch
+ * records of endpoints and hosts from peers, and read the operators' stream when
+ * a peer is ahead in it. A host that starts first looks for hosts of its domain
+ * in one page of the hosts' snapshot; if two of them rank before it, it leaves
+ * the rest to them.
  */
 
 /* The mean wait of a poll is this times the number of hosts that read. */
@@ -39,10 +40,14 @@
 #define PASSIVE_CHECK_S 0.4
 /* Records that a peer has had for this time should have arrived here. */
 #define LAG_MAX_US 80000LL
-/* Time between reads of the hosts' stream. Hosts announce themselves by
- * heartbeats; the stream adds the ones whose heartbeats do not arrive. */
-#define HOSTS_INTERVAL_PER_HOST_S 1.5
-#define HOSTS_INTERVAL_MAX_S 60.0
+/* Pause after new records of hosts, which are needed less urgently: many hosts
+ * may start at the same time. */
+#define HOSTS_PAUSE_S 1.0
+/* A host that starts gives the readers of its domain this time to provide the
+ * records, before it reads the store itself. */
+#define START_WAIT_US 3000000LL
+/* Time for a first message of theirs. */
+#define START_PAUSE_S 0.5
 #define BACKOFF_MIN_S 0.15
 #define BACKOFF_MAX_S 1.0
 /* Entries that expired while the store was unavailable are published again
@@ -277,6 +282,8 @@
 
 	if (sr->failures || sr->poll_now)
 		return 0;
+	if (sr->topic == ADAPTER_HOSTS)
+		ms = POLL_WAIT_MEAN_MAX_MS;
 	if (ms <= POLL_WAIT_MIN_MS)
 		return POLL_WAIT_MIN_MS;
 	if (ms > POLL_WAIT_MEAN_MAX_MS)
@@ -288,15 +295,13 @@
 /* Pause between a successful read and the next one. */
 static double read_interval_s(const struct store_reader *sr)
 {
-	double s = HOSTS_INTERVAL_PER_HOST_S * sr->g->fleet.hosts;
+	bool news = sr->from_offset < sr->g->records[sr->topic].next_offset;
 
 	switch (sr->topic) {
 	case ADAPTER_ENDPOINTS:
-		return sr->from_offset < sr->g->records[sr->topic].next_offset
-			       ? ENDPOINTS_PAUSE_S
-			       : 0;
+		return news ? ENDPOINTS_PAUSE_S : 0;
 	case ADAPTER_HOSTS:
-		return s < HOSTS_INTERVAL_MAX_S ? s : HOSTS_INTERVAL_MAX_S;
+		return news ? HOSTS_PAUSE_S : 0;
 	default:
 		return 0;
 	}
@@ -341,10 +346,28 @@
 		return 0;
 	records_snapshot_end(&sr->g->records[sr->topic], sr->snapshot_end,
 			     on_missing_key, sr);
-	sr->in_snapshot = sr->topic == ADAPTER_HOSTS;
+	sr->in_snapshot = false;
 	return 0;
 }
 
+/*
+ * Applies the first page of the hosts' snapshot that begins with this domain.
+ * The snapshot itself begins after a pause, if it is still needed.
+ */
+static int apply_domain_page(struct store_reader *sr)
+{
+	char last_key[RECORD_KEY_BYTES];
+	uint64_t end = 0;
+	bool more = false;
+	int r = adapter_read_snapshot(h1_buf_data(&sr->body),
+				      h1_buf_len(&sr->body), on_record, sr,
+				      &more, last_key, sizeof(last_key), &end);
+
+	sr->domain_page = false;
+	start_snapshot(sr);
+	return r;
+}
+
 static int apply_records(struct store_reader *sr)
 {
 	struct records *r = &sr->g->records[sr->topic];
@@ -365,6 +388,7 @@
 static void on_response(struct store_reader *sr)
 {
 	bool was_snapshot = sr->in_snapshot;
+	double after_s = 0;
 	int r = 0;
 
 	/* 410 Gone: the store no longer has the record at from_offset. */
@@ -383,7 +407,12 @@
 	}
 	if (sr->failures)
 		sr->recovered_us = gateway_now_us(sr->g);
-	r = sr->in_snapshot ? apply_page(sr) : apply_records(sr);
+	if (sr->domain_page) {
+		after_s = START_PAUSE_S;
+		r = apply_domain_page(sr);
+	} else {
+		r = sr->in_snapshot ? apply_page(sr) : apply_records(sr);
+	}
 	if (r < 0) {
 		read_failed(sr, "unreadable");
 		return;
@@ -394,17 +423,11 @@
 	sr->failures = 0;
 	sr->last_ok_us = gateway_now_us(sr->g);
 	/* The next page of the snapshot. */
-	if (was_snapshot && sr->after_key[0] && sr->in_snapshot &&
-	    sr->topic != ADAPTER_HOSTS) {
+	if (was_snapshot && sr->after_key[0] && sr->in_snapshot) {
 		start_read(sr);
 		return;
 	}
-	/* The hosts' stream is read by snapshots only. */
-	if (sr->topic == ADAPTER_HOSTS)
-		start_snapshot(sr);
-	set_timer(sr, was_snapshot && sr->topic != ADAPTER_HOSTS
-			      ? 0.
-			      : read_interval_s(sr));
+	set_timer(sr, was_snapshot ? after_s : read_interval_s(sr));
 }
 
 static enum h1_verdict on_head(void *ctx, const struct h1_head *h)
@@ -446,7 +469,10 @@
 	double timeout_s = READ_TIMEOUT_S;
 	uint32_t wait_ms = poll_wait_ms(sr);
 
-	if (sr->in_snapshot) {
+	if (sr->domain_page) {
+		adapter_write_snapshot_query(&request, g->settings->store_addr,
+					     sr->topic, g->settings->domain);
+	} else if (sr->in_snapshot) {
 		adapter_write_snapshot_query(&request, g->settings->store_addr,
 					     sr->topic, sr->after_key);
 	} else {
@@ -471,6 +497,23 @@
 	h1_buf_finish(&request);
 }
 
+/*
+ * Returns true if other hosts of the domain read the stream, or if this host
+ * starts and they are about to.
+ */
+static bool may_be_passive(const struct store_reader *sr)
+{
+	const struct gateway *g = sr->g;
+	bool empty = !g->records[sr->topic].next_offset;
+
+	if (sr->domain_page || (sr->topic == ADAPTER_OPERATORS && empty))
+		return false;
+	if (!empty || sr->after_key[0])
+		return heartbeat_may_be_passive(g);
+	return gateway_now_us(g) - g->relay.start_us < START_WAIT_US &&
+	       (heartbeat_may_be_passive(g) || relay_has_seniors(&g->relay));
+}
+
 static void on_timer(struct ev_loop *loop, ev_timer *w, int events)
 {
 	struct store_reader *sr = w->data;
@@ -481,8 +524,11 @@
 		read_failed(sr, "timed out");
 		return;
 	}
-	sr->passive = sr->topic != ADAPTER_HOSTS && !sr->in_snapshot &&
-		      !sr->failures && heartbeat_may_be_passive(sr->g);
+	/* Peers may have provided what the snapshot would. */
+	if (sr->in_snapshot && !sr->after_key[0] &&
+	    sr->g->records[sr->topic].next_offset)
+		sr->in_snapshot = false;
+	sr->passive = !sr->failures && may_be_passive(sr);
 	if (sr->passive && !sr->poll_now)
 		set_timer(sr, PASSIVE_CHECK_S);
 	else
@@ -510,11 +556,13 @@
 /* Writes this host's record; an empty value deletes it. */
 static void write_host_record(struct gateway *g, const char *value)
 {
+	char key[2 * POOL_SETTINGS_NAME_BYTES];
 	struct sockaddr_in addr;
 	struct h1_buf request = {0};
 
+	heartbeat_host_key(g, key, sizeof(key));
 	adapter_write_record(&request, g->settings->store_addr, ADAPTER_HOSTS,
-			     g->settings->host, value, strlen(value));
+			     key, value, strlen(value));
 	stats_add(&g->stats, STATS_STORE_CALLS, 1);
 	if (h1_parse_addr(g->settings->store_addr, &addr) == 0)
 		h1_exchange_start(&g->store, &g->register_exchange, &addr,
@@ -597,7 +645,8 @@
 		ev_timer_init(&sr->timer, on_timer, 0., 0.);
 		sr->timer.data = sr;
 		start_snapshot(sr);
-		set_timer(sr, 0.);
+		sr->domain_page = t == ADAPTER_HOSTS;
+		set_timer(sr, t == ADAPTER_ENDPOINTS ? START_PAUSE_S / 2 : 0.);
 	}
 	ev_timer_init(&g->register_timer, on_register_timer, 0., BACKOFF_MAX_S);
 	g->register_timer.data = g;
--- a/pkg/fleet/fleet.c
+++ b/pkg/fleet/fleet.c
@@ -4,6 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "namehash.h"
+
 /* Consecutive failures after which an endpoint is ejected. */
 #define FAILURES_MAX 3
 /* Length of the first ejection; each further failure doubles it. */
@@ -92,6 +94,7 @@
 	if (!e)
 		return NULL;
 	e->entry = *entry;
+	e->key = namehash32(entry->id);
 	e->listed = true;
 	e->offset = offset;
 	e->remove_at_us = 0;
--- a/pkg/fleet/fleet.h
+++ b/pkg/fleet/fleet.h
@@ -56,6 +56,7 @@
 	TAILQ_ENTRY(fleet_endpoint) link;
 	uint32_t refs;
 	struct fleet_entry entry;
+	uint32_t key;	      /* namehash32() of its id */
 	bool listed;	      /* still in the table */
 	int64_t remove_at_us; /* when to remove it, 0 if not scheduled */
 	uint64_t offset;      /* store offset of the last record applied */
--- a/pkg/pool_settings/test/pool_settings_test.cc
+++ b/pkg/pool_settings/test/pool_settings_test.cc
@@ -48,7 +48,7 @@
 {
 	const std::string digits = "5ec7e75ec7e75ec7e75ec7e75ec7e75e";
 	const std::string wrong[] = {
-		"\"" + digits + "\"",		       /* too short */
+		"\"" + digits + "\"",			/* too short */
 		"\"" + digits + digits + digits + "\"", /* too long */
 		"\"" + digits + digits + "ff\"",
 		"\"" + digits + digits.substr(1) + "z\"", /* not digits */
@@ -79,8 +79,8 @@
 /* A count with a fraction is a mistake, not a count that is rounded. */
 TEST(PoolSettings, RejectsFractionsOfCounts)
 {
-	std::string text = settings_with_secret(
-		"\"" + std::string(64, 'a') + "\"");
+	std::string text =
+		settings_with_secret("\"" + std::string(64, 'a') + "\"");
 	size_t at = text.find("\"descriptors\": 4100");
 	Parsed p(text.replace(at, 19, "\"descriptors\": 4100.5"));
 
--- a/pkg/ratelimit/ratelimit.c
+++ b/pkg/ratelimit/ratelimit.c
@@ -1,26 +1,19 @@
 #include "ratelimit.h"
 
 #include <errno.h>
-#include <stdlib.h>
 #include <string.h>
 
-/* Total of a host that has not reported yet; all bits are set, for memset. */
-#define NOT_REPORTED UINT64_MAX
-#define DEFAULT_HOST_TIMEOUT_US 1000000LL
+#include "namehash.h"
 
 int ratelimit_init(struct ratelimit *rl)
 {
 	memset(rl, 0, sizeof(*rl));
-	rl->host_timeout_us = DEFAULT_HOST_TIMEOUT_US;
+	rl->n_hosts = rl->living_hosts = 1;
 	return 0;
 }
 
 void ratelimit_finish(struct ratelimit *rl)
 {
-	uint32_t i;
-
-	for (i = 0; i < rl->n_accounts; i++)
-		free(rl->account[i].peer_consumed);
 	memset(rl, 0, sizeof(*rl));
 }
 
@@ -34,33 +27,21 @@
 	return NULL;
 }
 
-/* Returns how many of the other hosts are unreachable. */
-static uint32_t unreachable_hosts(const struct ratelimit *rl, int64_t now_us)
-{
-	uint32_t i, n = 0;
-
-	for (i = 0; i < rl->n_hosts; i++)
-		n += rl->host[i].name[0] &&
-		     now_us - rl->host[i].last_heartbeat_us >
-			     rl->host_timeout_us;
-	return n;
-}
-
-uint32_t ratelimit_host_count(const struct ratelimit *rl)
+static struct ratelimit_account *find_key(struct ratelimit *rl, uint64_t key)
 {
-	uint32_t i, n = 1;
+	uint32_t i;
 
-	for (i = 0; i < rl->n_hosts; i++)
-		n += rl->host[i].name[0] != '\0';
-	return n;
+	for (i = 0; i < rl->n_accounts; i++)
+		if (rl->account[i].key == key)
+			return &rl->account[i];
+	return NULL;
 }
 
-/* Refills a bucket up to now, less the part that unreachable hosts may use. */
+/* Refills a bucket up to now, less the part that silent hosts may use. */
 static void refill(struct ratelimit *rl, struct ratelimit_account *a,
 		   int64_t now_us)
 {
-	double hosts = ratelimit_host_count(rl);
-	double part = (hosts - unreachable_hosts(rl, now_us)) / hosts;
+	double part = (double)rl->living_hosts / rl->n_hosts;
 
 	if (now_us > a->refilled_us)
 		a->level += a->rate_per_s * part *
@@ -81,17 +62,15 @@
 			return -ENOSPC;
 		a = &rl->account[rl->n_accounts];
 		memset(a, 0, sizeof(*a));
-		a->peer_consumed =
-			malloc(RATELIMIT_HOSTS_MAX * sizeof(*a->peer_consumed));
-		if (!a->peer_consumed)
-			return -ENOMEM;
-		memset(a->peer_consumed, 0xff,
-		       RATELIMIT_HOSTS_MAX * sizeof(*a->peer_consumed));
 		strncpy(a->name, name, sizeof(a->name) - 1);
+		a->key = namehash(name);
 		a->refilled_us = now_us;
 		rl->n_accounts++;
 	}
 	refill(rl, a, now_us);
+	/* Without a limit the level is not kept: the bucket is new. */
+	if (a->rate_per_s <= 0)
+		a->level = 0;
 	a->rate_per_s = rate_per_s;
 	a->burst = burst;
 	if (a->level > burst)
@@ -112,21 +91,21 @@
 		need = amount < a->burst ? amount : a->burst;
 		if (a->level < need)
 			return false;
+		a->level -= amount;
 	}
-	a->level -= amount;
-	a->consumed += (uint64_t)amount;
+	a->consumed += (int64_t)amount;
 	return true;
 }
 
 void ratelimit_refund(struct ratelimit *rl, const char *name, double amount)
 {
 	struct ratelimit_account *a = find(rl, name);
-	uint64_t whole = (uint64_t)amount;
 
 	if (!a)
 		return;
-	a->level += amount;
-	a->consumed -= whole < a->consumed ? whole : a->consumed;
+	if (a->rate_per_s > 0)
+		a->level += amount;
+	a->consumed -= (int64_t)amount;
 }
 
 double ratelimit_wait_s(struct ratelimit *rl, const char *name, double amount,
@@ -142,92 +121,28 @@
 	return a->level >= amount ? 0 : (amount - a->level) / a->rate_per_s;
 }
 
-/*
- * Sets the last totals of a host: to 0 after its restart, or to NOT_REPORTED,
- * so that what it consumed before this host knew of it is not deducted.
- */
-static void host_reset(struct ratelimit *rl, int host, uint64_t consumed)
+void ratelimit_deduct(struct ratelimit *rl, uint64_t key, int64_t amount,
+		      int64_t now_us)
 {
-	uint32_t i;
-
-	for (i = 0; i < rl->n_accounts; i++)
-		rl->account[i].peer_consumed[host] = consumed;
-}
+	struct ratelimit_account *a = find_key(rl, key);
 
-int ratelimit_host_update(struct ratelimit *rl, const char *name, uint64_t boot,
-			  int64_t now_us)
-{
-	int free_row = -1;
-	uint32_t i;
-
-	for (i = 0; i < rl->n_hosts; i++) {
-		if (!rl->host[i].name[0])
-			free_row = (int)i;
-		else if (strcmp(rl->host[i].name, name) == 0)
-			break;
-	}
-	if (i == rl->n_hosts && free_row >= 0)
-		i = (uint32_t)free_row;
-	if (i == RATELIMIT_HOSTS_MAX)
-		return -ENOSPC;
-	if (i == rl->n_hosts)
-		rl->n_hosts++;
-	if (!rl->host[i].name[0])
-		host_reset(rl, (int)i, NOT_REPORTED);
-	else if (rl->host[i].boot != boot)
-		host_reset(rl, (int)i, 0);
-	strncpy(rl->host[i].name, name, sizeof(rl->host[i].name) - 1);
-	rl->host[i].boot = boot;
-	rl->host[i].last_heartbeat_us = now_us;
-	return (int)i;
-}
-
-void ratelimit_apply_report(struct ratelimit *rl, int host, const char *account,
-			    uint64_t consumed, int64_t now_us)
-{
-	struct ratelimit_account *a = find(rl, account);
-
-	if (a && a->peer_consumed[host] == NOT_REPORTED)
-		a->peer_consumed[host] = consumed;
-	if (!a || consumed == a->peer_consumed[host])
+	if (!a || a->rate_per_s <= 0)
 		return;
 	refill(rl, a, now_us);
-	/* Refunds lower the total: the difference may be negative. */
-	a->level -= (double)(int64_t)(consumed - a->peer_consumed[host]);
-	a->peer_consumed[host] = consumed;
+	a->level -= (double)amount;
 	if (a->level < -a->burst)
 		a->level = -a->burst;
 }
 
-void ratelimit_mark_reported(struct ratelimit *rl)
+void ratelimit_set_hosts(struct ratelimit *rl, uint32_t n, uint32_t living,
+			 int64_t now_us)
 {
 	uint32_t i;
 
+	if (n == rl->n_hosts && living == rl->living_hosts)
+		return;
 	for (i = 0; i < rl->n_accounts; i++)
-		rl->account[i].reported = rl->account[i].consumed;
-}
-
-bool ratelimit_report_urgent(struct ratelimit *rl, int64_t now_us)
-{
-	struct ratelimit_account *a;
-	uint32_t i;
-
-	for (i = 0; i < rl->n_accounts; i++) {
-		a = &rl->account[i];
-		if (a->rate_per_s <= 0 || a->reported == a->consumed)
-			continue;
-		refill(rl, a, now_us);
-		if (a->level < a->burst / 2)
-			return true;
-	}
-	return false;
-}
-
-void ratelimit_host_remove(struct ratelimit *rl, const char *name)
-{
-	uint32_t i;
-
-	for (i = 0; i < rl->n_hosts; i++)
-		if (strcmp(rl->host[i].name, name) == 0)
-			memset(&rl->host[i], 0, sizeof(rl->host[i]));
+		refill(rl, &rl->account[i], now_us);
+	rl->n_hosts = n;
+	rl->living_hosts = living;
 }
--- a/pkg/ratelimit/ratelimit.h
+++ b/pkg/ratelimit/ratelimit.h
@@ -6,21 +6,18 @@
 
 /*
  * Rate limits of accounts that bind all hosts together: a token bucket for each
- * account, replicated on every host. A host admits requests by its own bucket
- * and reports its total consumption to all other hosts, which deduct the
- * increase from their buckets. So all buckets have the same level, except for
- * consumption that is not reported yet. A host without heartbeats is assumed to
- * consume an equal part of the rate, so that hosts that cannot reach each other
- * do not exceed the limit together.
+ * account, replicated on every host. A host admits requests by its own bucket;
+ * what other hosts consume is deducted as it becomes known (pkg/relay). So all
+ * buckets have the same level, except for consumption that is not known yet. A
+ * host that is not heard of is assumed to consume an equal part of the rate, so
+ * that hosts that cannot reach each other do not exceed the limit together.
  *
- * Reports may be lost, since each one carries totals. Times are in microseconds
- * of a monotonic clock of this host; clocks of hosts are not compared. Amounts
- * are in the unit of the account's limit: requests or tokens.
+ * Times are in microseconds of a monotonic clock of this host. Amounts are in
+ * the unit of the account's limit: requests or tokens.
  */
 
 #define RATELIMIT_NAME_BYTES 64
 #define RATELIMIT_ACCOUNTS_MAX 1024
-#define RATELIMIT_HOSTS_MAX 512
 #define RATELIMIT_SERVICES_MAX 64
 
 struct ratelimit_account {
@@ -31,30 +28,19 @@
 	 * above the burst. */
 	double level;
 	int64_t refilled_us; /* when level was last brought up to date */
-	uint64_t reported;   /* value of consumed in the last report to all */
-	uint64_t consumed;   /* by this host since its start, less refunds */
-	/* Total of each host in its last report, by row; owned. */
-	uint64_t *peer_consumed;
-};
-
-/* Another host. */
-struct ratelimit_host {
-	char name[RATELIMIT_NAME_BYTES]; /* "" if the row is free */
-	uint64_t boot; /* differs for each start of the host */
-	int64_t last_heartbeat_us;
+	int64_t consumed;    /* by this host since its start, less refunds */
+	uint64_t key;	     /* namehash() of its name */
 };
 
 struct ratelimit {
 	struct ratelimit_account account[RATELIMIT_ACCOUNTS_MAX];
 	uint32_t n_accounts;
-	struct ratelimit_host host[RATELIMIT_HOSTS_MAX];
-	uint32_t n_hosts; /* rows used so far, free ones included */
-	double slack;	  /* added to every burst */
-	/* A host is unreachable if its last heartbeat is older than this. */
-	int64_t host_timeout_us;
+	uint32_t n_hosts;      /* that share the limits, this one included */
+	uint32_t living_hosts; /* of these, the ones that are heard of */
+	double slack;	       /* added to every burst */
 };
 
-/* Starts without accounts and hosts. Returns 0. */
+/* Starts without accounts, and as the only host. Returns 0. */
 int ratelimit_init(struct ratelimit *rl);
 /* Frees the accounts, not rl itself. */
 void ratelimit_finish(struct ratelimit *rl);
@@ -62,7 +48,7 @@
  * Adds an account or changes its limit. rate_per_s is 0 for an unlimited
  * account; burst is the size of the bucket without slack. A new bucket is
  * empty, since a host that starts does not know what other hosts have consumed.
- * Returns 0, -ENOSPC or -ENOMEM.
+ * Returns 0 or -ENOSPC.
  */
 int ratelimit_account_set(struct ratelimit *rl, const char *name,
 			  double rate_per_s, double burst, int64_t now_us);
@@ -82,32 +68,17 @@
 double ratelimit_wait_s(struct ratelimit *rl, const char *name, double amount,
 			int64_t now_us);
 /*
- * Records a heartbeat of another host, and adds the host if it is unknown.
- * Returns its row for ratelimit_apply_report(), or -ENOSPC.
- */
-int ratelimit_host_update(struct ratelimit *rl, const char *name, uint64_t boot,
-			  int64_t now_us);
-/*
- * Deducts another host's consumption since its last report; consumed is its
- * total since its start. The first report of a host is not deducted, it only
- * sets the total from which the next one counts. The level does not fall below
- * -burst.
+ * Deducts what other hosts have consumed of the account with this key; negative
+ * for refunds. The level does not fall below -burst.
  */
-void ratelimit_apply_report(struct ratelimit *rl, int host, const char *account,
-			    uint64_t consumed, int64_t now_us);
-/* Records that this host's current totals were sent to all other hosts. */
-void ratelimit_mark_reported(struct ratelimit *rl);
+void ratelimit_deduct(struct ratelimit *rl, uint64_t key, int64_t amount,
+		      int64_t now_us);
 /*
- * Returns true if the totals should be sent before the next regular report:
- * there is unreported consumption of an account whose bucket is less than half
- * full. Until hosts know of each other's consumption, together they admit too
- * much.
+ * Sets the number of hosts that share the limits, and of those that are heard
+ * of, both with this host. The others may consume their part unseen.
  */
-bool ratelimit_report_urgent(struct ratelimit *rl, int64_t now_us);
-/* Removes a host; what it has consumed stays deducted. */
-void ratelimit_host_remove(struct ratelimit *rl, const char *name);
-/* Returns the number of known hosts, this one included. */
-uint32_t ratelimit_host_count(const struct ratelimit *rl);
+void ratelimit_set_hosts(struct ratelimit *rl, uint32_t n, uint32_t living,
+			 int64_t now_us);
 
 /*
  * The retry budget of a service, a token bucket: each request of a caller
--- /dev/null
+++ b/pkg/relay/test/relay_test.cc
@@ -0,0 +1,276 @@
+#include <gtest/gtest.h>
+
+#include "network.h"
+
+/*
+ * Each host has one endpoint to itself, where it runs as many tokens as
+ * milliseconds have passed. So what another host knows of that endpoint tells
+ * when it was true.
+ */
+struct Ages {
+	Network net;
+	std::vector<double> ages_s; /* samples */
+	double worst_s = 0;
+
+	Ages(uint32_t hosts, uint32_t domains, uint64_t seed)
+	    : net(hosts, domains, seed)
+	{
+		for (uint32_t i = 0; i < hosts; i++)
+			net.names.push_back("e" + std::to_string(i));
+		net.before_tick = [this](Network::Node &n) {
+			n.load = {{(uint32_t)atoi(n.addr.c_str()), 1,
+				   (uint32_t)(net.now_us / MS)}};
+		};
+		net.start_all();
+		net.run(4 * S);
+	}
+	double age_s(Network::Node &of, Network::Node &at)
+	{
+		uint32_t running, tokens;
+
+		relay_get_load(
+			&at.relay,
+			namehash32(net.names[(size_t)atoi(of.addr.c_str())]
+					   .c_str()),
+			net.now_us, &running, &tokens);
+		return (double)net.now_us / S - (double)tokens / 1000;
+	}
+	/* Samples the ages of some hosts at all living hosts. */
+	void sample(int hosts)
+	{
+		for (int k = 0; k < hosts; k++) {
+			Network::Node &of =
+				*net.node[net.random() % net.node.size()];
+
+			if (!of.up || net.now_us < of.frozen_until_us)
+				continue;
+			for (auto &at : net.node)
+				if (at->up && at.get() != &of &&
+				    net.now_us >= at->frozen_until_us) {
+					ages_s.push_back(age_s(of, *at));
+					worst_s = std::max(worst_s,
+							   ages_s.back());
+				}
+		}
+	}
+	double quantile(double q)
+	{
+		std::sort(ages_s.begin(), ages_s.end());
+		return ages_s[(size_t)(q * (double)(ages_s.size() - 1))];
+	}
+};
+
+TEST(Relay, KnowledgeIsHalfASecondOldAtMost)
+{
+	for (uint32_t hosts : {8, 30, 100, 300}) {
+		Ages a(hosts, 6, hosts);
+
+		a.net.run(3 * S, [&] { a.sample(2); });
+		printf("%u hosts: age p50 %.3f s, p99 %.3f s, worst %.3f s\n",
+		       hosts, a.quantile(0.5), a.quantile(0.99), a.worst_s);
+		EXPECT_LE(a.quantile(0.99), 0.5) << hosts << " hosts";
+	}
+}
+
+/* Hosts with three loads at 210 endpoints, and 40 accounts. */
+struct Traffic {
+	Network net;
+
+	Traffic(uint32_t hosts, uint64_t seed) : net(hosts, 6, seed)
+	{
+		for (int i = 0; i < 210; i++)
+			net.names.push_back("i-" + std::to_string(1000000 + i));
+		net.on_start = [](Network::Node &n) {
+			for (int i = 0; i < 40; i++)
+				ratelimit_account_set(
+					n.limits.get(),
+					("account" + std::to_string(i)).c_str(),
+					47000, 47000, 0);
+		};
+		net.before_tick = [this](Network::Node &n) {
+			n.load.clear();
+			for (int i = 0; i < 3; i++)
+				n.load.push_back(
+					{(uint32_t)(net.random() % 210), 1,
+					 3500});
+			n.limits->account[net.random() % 40].consumed += 3200;
+		};
+		net.start_all();
+		net.run(4 * S);
+		for (auto &n : net.node)
+			n->sent = n->received = n->bytes = 0;
+	}
+};
+
+TEST(Relay, MessagesOfAHostDoNotGrowWithTheirNumber)
+{
+	double messages[3], bytes[3], most[3];
+	const uint32_t sizes[] = {30, 100, 300};
+
+	for (int k = 0; k < 3; k++) {
+		Traffic t(sizes[k], k + 1);
+		double n = 0;
+
+		messages[k] = bytes[k] = most[k] = 0;
+		t.net.run(3 * S);
+		for (auto &node : t.net.node) {
+			double per_s =
+				(double)(node->sent + node->received) / 3;
+
+			most[k] = std::max(most[k], per_s);
+			if (node->relay.mode != RELAY_MEMBER)
+				continue;
+			messages[k] += per_s;
+			bytes[k] += (double)node->bytes / 3;
+			n++;
+		}
+		messages[k] /= n;
+		bytes[k] /= n;
+		printf("%u hosts: member %.1f messages/s, %.1f kB/s; the most "
+		       "of a delegate %.0f messages/s\n",
+		       sizes[k], messages[k], bytes[k] / 1000, most[k]);
+	}
+	EXPECT_LE(messages[2], messages[1] * 1.1);
+	EXPECT_LE(bytes[2], bytes[1] * 1.25)
+		<< "at 300 hosts more of the 210 endpoints are in use";
+	/* A delegate's grow with its domain: 50 hosts in place of 17. */
+	EXPECT_LE(most[2], most[1] * 3.2);
+}
+
+TEST(Relay, ADeadHostIsKnownWithinTwoAndThreeSeconds)
+{
+	for (uint64_t seed = 1; seed <= 5; seed++) {
+		Ages a(120, 6, seed);
+		Network::Node &dead = *a.net.node[seed * 7];
+		uint32_t endpoint = namehash32(
+			a.net.names[(size_t)atoi(dead.addr.c_str())].c_str());
+		int64_t died_us = a.net.now_us;
+		double own_s = 0, other_s = 0;
+
+		a.net.stop(dead);
+		a.net.run(4 * S, [&] {
+			for (auto &n : a.net.node) {
+				uint32_t running, tokens;
+				double s = (double)(a.net.now_us - died_us) / S;
+
+				if (!n->up)
+					continue;
+				relay_get_load(&n->relay, endpoint,
+					       a.net.now_us, &running, &tokens);
+				if (!running)
+					continue;
+				if (n->domain == dead.domain)
+					own_s = std::max(own_s, s);
+				else
+					other_s = std::max(other_s, s);
+			}
+		});
+		EXPECT_LE(own_s, 2.0) << "seed " << seed;
+		EXPECT_LE(other_s, 3.0) << "seed " << seed;
+		EXPECT_EQ(relay_living(&a.net.node[0]->relay, a.net.now_us),
+			  119u);
+	}
+}
+
+/* A delegate that is dead, frozen, cut off or slow is replaced. */
+struct Fault {
+	const char *name;
+	std::function<void(Ages &, Network::Node &)> begin;
+};
+
+static const Fault faults[] = {
+	{"dead", [](Ages &a, Network::Node &n) { a.net.stop(n); }},
+	{"frozen",
+	 [](Ages &a, Network::Node &n) {
+		 n.frozen_until_us = a.net.now_us + 5 * S;
+	 }},
+	{"cut off",
+	 [](Ages &a, Network::Node &n) {
+		 a.net.reaches = [&n](const Network::Node &x,
+				      const Network::Node &y) {
+			 return &x != &n && &y != &n;
+		 };
+	 }},
+	{"cut off one way",
+	 [](Ages &a, Network::Node &n) {
+		 a.net.reaches = [&n](const Network::Node &x,
+				      const Network::Node &) {
+			 return &x != &n;
+		 };
+	 }},
+};
+
+TEST(Relay, ADelegateIsReplacedWithinTwoSeconds)
+{
+	for (const Fault &f : faults)
+		for (uint64_t seed = 1; seed <= 3; seed++) {
+			Ages a(120, 6, seed);
+			Network::Node &n = *a.net.ranked(
+				"d" + std::to_string(seed))[seed % 2];
+			auto at_fault = [&] { return &n; };
+			double worst_s = 0;
+
+			f.begin(a, n);
+			a.net.run(6 * S, [&] {
+				for (int k = 0; k < 2; k++) {
+					Network::Node &of =
+						*a.net.node[a.net.random() %
+							    120];
+
+					if (&of == at_fault())
+						continue;
+					for (auto &at : a.net.node)
+						if (at.get() != &n &&
+						    at.get() != &of)
+							worst_s = std::max(
+								worst_s,
+								a.age_s(of,
+									*at));
+				}
+			});
+			EXPECT_LE(worst_s, 2.0) << f.name << ", seed " << seed;
+		}
+}
+
+/* Half of all hosts die at once, delegates among them. */
+TEST(Relay, RecoversFromTheLossOfHalfOfTheHosts)
+{
+	for (uint64_t seed = 1; seed <= 5; seed++) {
+		Ages a(120, 6, seed);
+
+		for (auto &n : a.net.node)
+			if (a.net.random() % 2)
+				a.net.stop(*n);
+		a.net.run(5 * S);
+		a.net.run(2 * S, [&] { a.sample(2); });
+		EXPECT_LE(a.quantile(0.99), 0.5) << "seed " << seed;
+		EXPECT_LE(a.worst_s, 2.0) << "seed " << seed;
+	}
+}
+
+/* A host that was cut off alone for long still counts the others. */
+TEST(Relay, AHostThatIsCutOffDoesNotForgetTheOthers)
+{
+	Ages a(60, 6, 3);
+	Network::Node &alone = *a.net.node[5];
+
+	a.net.reaches = [&](const Network::Node &x, const Network::Node &y) {
+		return &x != &alone && &y != &alone;
+	};
+	a.net.run(40 * S);
+	EXPECT_GE(relay_known(&alone.relay, a.net.now_us), 50u);
+	EXPECT_EQ(relay_living(&alone.relay, a.net.now_us), 1u);
+	for (uint32_t i = 0; i < alone.relay.n_domains; i++) {
+		const struct relay_domain *d = &alone.relay.domain[i];
+
+		EXPECT_FALSE(
+			relay_domain_is_alive(&alone.relay, d, a.net.now_us))
+			<< d->name;
+	}
+	a.net.reaches = [](const Network::Node &, const Network::Node &) {
+		return true;
+	};
+	a.net.run(5 * S);
+	EXPECT_EQ(relay_living(&alone.relay, a.net.now_us), 60u);
+	EXPECT_EQ(relay_living(&a.net.node[0]->relay, a.net.now_us), 60u);
+}
--- a/pkg/stats/stats.h
+++ b/pkg/stats/stats.h
@@ -45,6 +45,7 @@
 	X(STORE_FAILURES, "store_failures", "calls to the store that failed")  \
 	X(CONNECTS, "connects", "connections opened to endpoints")             \
 	X(PEER_MESSAGES, "peer_messages", "messages from other hosts")         \
+	X(PEER_BYTES, "peer_bytes", "bytes exchanged with other hosts")        \
 	X(LOG_LINES_DROPPED, "log_lines_dropped", "log lines left out")
 
 enum stats_counter {
@@ -62,7 +63,9 @@
 	X(EVENT_GAP_S, "event_gap",                                            \
 	  "longest pause between events of a stream")                          \
 	X(WAIT_S, "wait", "time that a request waited for room")               \
-	X(PREFILL_S, "prefill", "time that a prefill took")
+	X(PREFILL_S, "prefill", "time that a prefill took")                    \
+	X(KNOWLEDGE_AGE_S, "knowledge_age",                                    \
+	  "age of the oldest part of what is known of other hosts")
 
 enum stats_histogram {
 #define STATS_ENUM(id, name, help) STATS_##id,
--- a/pkg/wire/fig_msg.x
+++ b/pkg/wire/fig_msg.x
@@ -23,7 +23,9 @@
 	FIG_ROOM = 9,
 	FIG_CRASH = 16,
 	FIG_SHARE = 17,
-	FIG_RECORDS_GET = 18
+	FIG_RECORDS_GET = 18,
+	FIG_ROWS = 19,
+	FIG_DIGEST = 20
 };
 
 /* Once an interval to hosts of the domain, over UDP; no reply. */
@@ -193,7 +195,10 @@
 	FIG_LEAVES_IT = 2 /* to other hosts of its domain */
 };
 
-/* Once an interval to all hosts, over UDP; no reply. */
+/*
+ * A host's report of itself, over UDP: once an interval to all hosts, or if there
+ * are many, to the delegates of its domain. No reply, but to one that asks.
+ */
 struct fig_share {
 	fig_name domain;
 	fig_name addr;
@@ -201,6 +206,70 @@
 	unsigned int following; /* enum fig_following */
 	fig_spent spent<FIG_SPENT_MAX>;
 	fig_load load<FIG_LOADS_MAX>;
+	unsigned hyper hosts_upto; /* records of hosts that it holds */
+	unsigned hyper uptime_ms;
+	unsigned int waiting; /* requests that wait for an endpoint */
+	bool asks; /* for a digest */
+};
+
+const FIG_STREAMS = 3;
+const FIG_DOMAINS_MAX = 64;
+const FIG_TOTALS_MAX = 2048;
+const FIG_ROWS_MAX = 1024;
+
+/* Names are replaced by the hashes of pkg/relay in what follows. */
+
+/* Load at one endpoint: KV tokens in use, or prompt tokens to be processed. */
+struct fig_total {
+	unsigned int endpoint;
+	unsigned int running;
+	unsigned int tokens;
+};
+
+/* Consumption of an account since the start of the sender, less refunds. */
+struct fig_account_total {
+	unsigned hyper account;
+	hyper amount;
+};
+
+/* What a delegate knows of a host, from its report with this counter. */
+struct fig_host_row {
+	unsigned hyper host;
+	unsigned hyper boot;
+	unsigned hyper counter;
+	unsigned int age_ms; /* since the delegate received the report */
+	unsigned int waiting;
+	fig_total load<FIG_TOTALS_MAX>;
+};
+
+/* From a delegate to the other delegates, over UDP; no reply. */
+struct fig_rows {
+	fig_name domain;
+	fig_name addr;
+	unsigned hyper upto[FIG_STREAMS];
+	unsigned int following;
+	fig_account_total spent<FIG_SPENT_MAX>; /* by the domain's hosts */
+	fig_host_row row<FIG_ROWS_MAX>; /* of the domain */
+};
+
+struct fig_domain_hosts {
+	fig_name domain;
+	unsigned int known; /* hosts */
+	unsigned int alive; /* of these */
+};
+
+/* From a delegate to a host that asked for it, over UDP: all other hosts. */
+struct fig_digest {
+	fig_name domain;
+	fig_name addr;
+	unsigned hyper upto[FIG_STREAMS];
+	unsigned int following;
+	bool complete; /* false: the delegate does not know all hosts yet */
+	unsigned int oldest_ms; /* age of the oldest row that it sums up */
+	unsigned int waiting; /* requests, of all other hosts */
+	fig_domain_hosts domains<FIG_DOMAINS_MAX>; /* all hosts are counted */
+	fig_account_total spent<FIG_SPENT_MAX>;
+	fig_total load<FIG_TOTALS_MAX>;
 };
 
 const FIG_RECORDS_MAX = 8192;
@@ -249,6 +318,10 @@
 	fig_share share;
 case FIG_RECORDS_GET:
 	fig_records_get records_get;
+case FIG_ROWS:
+	fig_rows rows;
+case FIG_DIGEST:
+	fig_digest digest;
 };
 
 union fig_reply switch (fig_kind kind) {
@@ -276,6 +349,10 @@
 	void;
 case FIG_RECORDS_GET:
 	fig_records_got records_got;
+case FIG_ROWS:
+	void;
+case FIG_DIGEST:
+	void;
 };
 
 /* What stands behind the RPC header: who sent it, and proof that it belongs. */
--- a/pkg/wire/gen/fig_msg.h
+++ b/pkg/wire/gen/fig_msg.h
@@ -32,6 +32,8 @@
 	FIG_CRASH = 16,
 	FIG_SHARE = 17,
 	FIG_RECORDS_GET = 18,
+	FIG_ROWS = 19,
+	FIG_DIGEST = 20,
 };
 typedef enum fig_kind fig_kind;
 
@@ -237,8 +239,88 @@
 		u_int load_len;
 		fig_load *load_val;
 	} load;
+	u_quad_t hosts_upto;
+	u_quad_t uptime_ms;
+	u_int waiting;
+	bool_t asks;
 };
 typedef struct fig_share fig_share;
+#define FIG_STREAMS 3
+#define FIG_DOMAINS_MAX 64
+#define FIG_TOTALS_MAX 2048
+#define FIG_ROWS_MAX 1024
+
+struct fig_total {
+	u_int endpoint;
+	u_int running;
+	u_int tokens;
+};
+typedef struct fig_total fig_total;
+
+struct fig_account_total {
+	u_quad_t account;
+	quad_t amount;
+};
+typedef struct fig_account_total fig_account_total;
+
+struct fig_host_row {
+	u_quad_t host;
+	u_quad_t boot;
+	u_quad_t counter;
+	u_int age_ms;
+	u_int waiting;
+	struct {
+		u_int load_len;
+		fig_total *load_val;
+	} load;
+};
+typedef struct fig_host_row fig_host_row;
+
+struct fig_rows {
+	fig_name domain;
+	fig_name addr;
+	u_quad_t upto[FIG_STREAMS];
+	u_int following;
+	struct {
+		u_int spent_len;
+		fig_account_total *spent_val;
+	} spent;
+	struct {
+		u_int row_len;
+		fig_host_row *row_val;
+	} row;
+};
+typedef struct fig_rows fig_rows;
+
+struct fig_domain_hosts {
+	fig_name domain;
+	u_int known;
+	u_int alive;
+};
+typedef struct fig_domain_hosts fig_domain_hosts;
+
+struct fig_digest {
+	fig_name domain;
+	fig_name addr;
+	u_quad_t upto[FIG_STREAMS];
+	u_int following;
+	bool_t complete;
+	u_int oldest_ms;
+	u_int waiting;
+	struct {
+		u_int domains_len;
+		fig_domain_hosts *domains_val;
+	} domains;
+	struct {
+		u_int spent_len;
+		fig_account_total *spent_val;
+	} spent;
+	struct {
+		u_int load_len;
+		fig_total *load_val;
+	} load;
+};
+typedef struct fig_digest fig_digest;
 #define FIG_RECORDS_MAX 8192
 
 struct fig_records_get {
@@ -283,6 +365,8 @@
 		fig_rooms room;
 		fig_share share;
 		fig_records_get records_get;
+		fig_rows rows;
+		fig_digest digest;
 	} fig_call_u;
 };
 typedef struct fig_call fig_call;
@@ -361,6 +445,12 @@
 extern  bool_t xdr_fig_load (XDR *, fig_load*);
 extern  bool_t xdr_fig_following (XDR *, fig_following*);
 extern  bool_t xdr_fig_share (XDR *, fig_share*);
+extern  bool_t xdr_fig_total (XDR *, fig_total*);
+extern  bool_t xdr_fig_account_total (XDR *, fig_account_total*);
+extern  bool_t xdr_fig_host_row (XDR *, fig_host_row*);
+extern  bool_t xdr_fig_rows (XDR *, fig_rows*);
+extern  bool_t xdr_fig_domain_hosts (XDR *, fig_domain_hosts*);
+extern  bool_t xdr_fig_digest (XDR *, fig_digest*);
 extern  bool_t xdr_fig_records_get (XDR *, fig_records_get*);
 extern  bool_t xdr_fig_record (XDR *, fig_record*);
 extern  bool_t xdr_fig_records_got (XDR *, fig_records_got*);
@@ -395,6 +485,12 @@
 extern bool_t xdr_fig_load ();
 extern bool_t xdr_fig_following ();
 extern bool_t xdr_fig_share ();
+extern bool_t xdr_fig_total ();
+extern bool_t xdr_fig_account_total ();
+extern bool_t xdr_fig_host_row ();
+extern bool_t xdr_fig_rows ();
+extern bool_t xdr_fig_domain_hosts ();
+extern bool_t xdr_fig_digest ();
 extern bool_t xdr_fig_records_get ();
 extern bool_t xdr_fig_record ();
 extern bool_t xdr_fig_records_got ();
--- a/pkg/wire/gen/fig_msg_xdr.c
+++ b/pkg/wire/gen/fig_msg_xdr.c
@@ -481,6 +481,205 @@
 	 if (!xdr_array (xdrs, (char **)&objp->load.load_val, (u_int *) &objp->load.load_len, FIG_LOADS_MAX,
 		sizeof (fig_load), (xdrproc_t) xdr_fig_load))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->hosts_upto))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->uptime_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->waiting))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->asks))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fig_total (XDR *xdrs, fig_total *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->endpoint))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->running))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->tokens))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fig_account_total (XDR *xdrs, fig_account_total *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->account))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->amount))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fig_host_row (XDR *xdrs, fig_host_row *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->host))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->boot))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->counter))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->waiting))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->load.load_val, (u_int *) &objp->load.load_len, FIG_TOTALS_MAX,
+		sizeof (fig_total), (xdrproc_t) xdr_fig_total))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fig_rows (XDR *xdrs, fig_rows *objp)
+{
+	register int32_t *buf;
+
+	int i;
+	 if (!xdr_fig_name (xdrs, &objp->domain))
+		 return FALSE;
+	 if (!xdr_fig_name (xdrs, &objp->addr))
+		 return FALSE;
+	 if (!xdr_vector (xdrs, (char *)objp->upto, FIG_STREAMS,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->following))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->spent.spent_val, (u_int *) &objp->spent.spent_len, FIG_SPENT_MAX,
+		sizeof (fig_account_total), (xdrproc_t) xdr_fig_account_total))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->row.row_val, (u_int *) &objp->row.row_len, FIG_ROWS_MAX,
+		sizeof (fig_host_row), (xdrproc_t) xdr_fig_host_row))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fig_domain_hosts (XDR *xdrs, fig_domain_hosts *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_fig_name (xdrs, &objp->domain))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->known))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->alive))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fig_digest (XDR *xdrs, fig_digest *objp)
+{
+	register int32_t *buf;
+
+	int i;
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_fig_name (xdrs, &objp->domain))
+			 return FALSE;
+		 if (!xdr_fig_name (xdrs, &objp->addr))
+			 return FALSE;
+		 if (!xdr_vector (xdrs, (char *)objp->upto, FIG_STREAMS,
+			sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->following))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->complete))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->oldest_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->waiting))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->following);
+		IXDR_PUT_BOOL(buf, objp->complete);
+		IXDR_PUT_U_LONG(buf, objp->oldest_ms);
+		IXDR_PUT_U_LONG(buf, objp->waiting);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->domains.domains_val, (u_int *) &objp->domains.domains_len, FIG_DOMAINS_MAX,
+			sizeof (fig_domain_hosts), (xdrproc_t) xdr_fig_domain_hosts))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->spent.spent_val, (u_int *) &objp->spent.spent_len, FIG_SPENT_MAX,
+			sizeof (fig_account_total), (xdrproc_t) xdr_fig_account_total))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->load.load_val, (u_int *) &objp->load.load_len, FIG_TOTALS_MAX,
+			sizeof (fig_total), (xdrproc_t) xdr_fig_total))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_fig_name (xdrs, &objp->domain))
+			 return FALSE;
+		 if (!xdr_fig_name (xdrs, &objp->addr))
+			 return FALSE;
+		 if (!xdr_vector (xdrs, (char *)objp->upto, FIG_STREAMS,
+			sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->following))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->complete))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->oldest_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->waiting))
+				 return FALSE;
+
+		} else {
+		objp->following = IXDR_GET_U_LONG(buf);
+		objp->complete = IXDR_GET_BOOL(buf);
+		objp->oldest_ms = IXDR_GET_U_LONG(buf);
+		objp->waiting = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->domains.domains_val, (u_int *) &objp->domains.domains_len, FIG_DOMAINS_MAX,
+			sizeof (fig_domain_hosts), (xdrproc_t) xdr_fig_domain_hosts))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->spent.spent_val, (u_int *) &objp->spent.spent_len, FIG_SPENT_MAX,
+			sizeof (fig_account_total), (xdrproc_t) xdr_fig_account_total))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->load.load_val, (u_int *) &objp->load.load_len, FIG_TOTALS_MAX,
+			sizeof (fig_total), (xdrproc_t) xdr_fig_total))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_fig_name (xdrs, &objp->domain))
+		 return FALSE;
+	 if (!xdr_fig_name (xdrs, &objp->addr))
+		 return FALSE;
+	 if (!xdr_vector (xdrs, (char *)objp->upto, FIG_STREAMS,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->following))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->complete))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->oldest_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->waiting))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->domains.domains_val, (u_int *) &objp->domains.domains_len, FIG_DOMAINS_MAX,
+		sizeof (fig_domain_hosts), (xdrproc_t) xdr_fig_domain_hosts))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->spent.spent_val, (u_int *) &objp->spent.spent_len, FIG_SPENT_MAX,
+		sizeof (fig_account_total), (xdrproc_t) xdr_fig_account_total))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->load.load_val, (u_int *) &objp->load.load_len, FIG_TOTALS_MAX,
+		sizeof (fig_total), (xdrproc_t) xdr_fig_total))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -583,6 +782,14 @@
 		 if (!xdr_fig_records_get (xdrs, &objp->fig_call_u.records_get))
 			 return FALSE;
 		break;
+	case FIG_ROWS:
+		 if (!xdr_fig_rows (xdrs, &objp->fig_call_u.rows))
+			 return FALSE;
+		break;
+	case FIG_DIGEST:
+		 if (!xdr_fig_digest (xdrs, &objp->fig_call_u.digest))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
@@ -637,6 +844,10 @@
 		 if (!xdr_fig_records_got (xdrs, &objp->fig_reply_u.records_got))
 			 return FALSE;
 		break;
+	case FIG_ROWS:
+		break;
+	case FIG_DIGEST:
+		break;
 	default:
 		return FALSE;
 	}
