ratelimit: estimate what other hosts consume unseen

All hosts spend the same last tokens until they hear of each other, and a host that starts knows of nobody. A refund to zero was not reported. Change: reports carry what is refused as well; while a bucket holds less than what others may have consumed since, a request is admitted with the probability that leaves them their part. A host counts from its record on.

--- a/cmd/figbend/gateway/heartbeat.c
+++ b/cmd/figbend/gateway/heartbeat.c
@@ -260,6 +260,7 @@
  */
 static int fill_report(struct gateway *g, struct fig_share *s)
 {
+	uint32_t n_accounts = g->ratelimit.n_accounts;
 	struct fleet_endpoint *e;
 	uint32_t i;
 
@@ -272,21 +273,28 @@
 	s->hosts_upto = g->records[ADAPTER_HOSTS].next_offset;
 	s->uptime_ms = (uint64_t)(gateway_now_us(g) - g->relay.start_us) / 1000;
 	s->waiting = g->n_waiting;
-	s->spent.spent_val = calloc(g->ratelimit.n_accounts + 1,
-				    sizeof(*s->spent.spent_val));
+	s->spent.spent_val =
+		calloc(n_accounts + 1, sizeof(*s->spent.spent_val));
+	s->refused.refused_val =
+		calloc(n_accounts + 1, sizeof(*s->refused.refused_val));
 	s->load.load_val =
 		calloc(g->fleet.n_endpoints + 1, sizeof(*s->load.load_val));
-	if (!s->spent.spent_val || !s->load.load_val)
+	if (!s->spent.spent_val || !s->refused.refused_val || !s->load.load_val)
 		return -ENOMEM;
-	for (i = 0; i < g->ratelimit.n_accounts; i++) {
+	for (i = 0; i < n_accounts; i++) {
 		struct ratelimit_account *a = &g->ratelimit.account[i];
 		struct fig_spent *row;
 
-		if (a->consumed <= 0)
-			continue;
-		row = &s->spent.spent_val[s->spent.spent_len++];
-		row->account = a->name;
-		row->amount = (uint64_t)a->consumed;
+		if (a->used) {
+			row = &s->spent.spent_val[s->spent.spent_len++];
+			row->account = a->name;
+			row->amount = (uint64_t)a->consumed;
+		}
+		if (a->refused) {
+			row = &s->refused.refused_val[s->refused.refused_len++];
+			row->account = a->name;
+			row->amount = (uint64_t)a->refused;
+		}
 	}
 	TAILQ_FOREACH(e, &g->fleet.list, link)
 	{
@@ -314,6 +322,7 @@
 		peer_send(&g->peer, addr, &call);
 	}
 	free(s->spent.spent_val);
+	free(s->refused.refused_val);
 	free(s->load.load_val);
 }
 
--- a/pkg/ratelimit/ratelimit.c
+++ b/pkg/ratelimit/ratelimit.c
@@ -1,14 +1,21 @@
 #include "ratelimit.h"
 
 #include <errno.h>
+#include <math.h>
 #include <string.h>
 
 #include "namehash.h"
 
+/* Time constant of the average of what is requested of other hosts. */
+#define DEMAND_S 2.0
+/* Distinguishes the key of refusals from the account's own. */
+#define REFUSED_MASK 0x5245465553454421ULL
+
 int ratelimit_init(struct ratelimit *rl)
 {
 	memset(rl, 0, sizeof(*rl));
 	rl->n_hosts = rl->living_hosts = 1;
+	rl->random = 1;
 	return 0;
 }
 
@@ -78,22 +85,64 @@
 	return 0;
 }
 
+/* Returns a number in [0, 1) from a linear congruential generator. */
+static double random_fraction(struct ratelimit *rl)
+{
+	rl->random =
+		rl->random * 6364136223846793005ULL + 1442695040888963407ULL;
+	return (double)(rl->random >> 40) / (double)(1 << 24);
+}
+
+/* Adds to what was requested of other hosts, after its decay up to now. */
+static void add_demand(struct ratelimit_account *a, double amount,
+		       int64_t now_us)
+{
+	double s = (double)(now_us - a->others_demand_us) / 1e6;
+
+	if (s > 0)
+		a->others_demand *= exp(-s / DEMAND_S);
+	a->others_demand_us = now_us;
+	a->others_demand += amount;
+}
+
+/*
+ * Returns a random part of what other hosts may have consumed unseen. Admitting
+ * what fits beside it leaves them their part of a bucket that is nearly empty.
+ */
+static double unseen_part(struct ratelimit *rl, struct ratelimit_account *a,
+			  int64_t now_us)
+{
+	add_demand(a, 0, now_us);
+	return a->others_demand / DEMAND_S * (double)rl->staleness_us / 1e6 *
+	       random_fraction(rl);
+}
+
+/* Returns the level at which an amount is admitted; a full bucket suffices. */
+static double required_level(struct ratelimit *rl, struct ratelimit_account *a,
+			     double amount, int64_t now_us)
+{
+	double level = amount + unseen_part(rl, a, now_us);
+
+	return level < a->burst ? level : a->burst;
+}
+
 bool ratelimit_consume(struct ratelimit *rl, const char *name, double amount,
 		       int64_t now_us)
 {
 	struct ratelimit_account *a = find(rl, name);
-	double need;
 
 	if (!a)
 		return true;
 	if (a->rate_per_s > 0) {
 		refill(rl, a, now_us);
-		need = amount < a->burst ? amount : a->burst;
-		if (a->level < need)
+		if (a->level < required_level(rl, a, amount, now_us)) {
+			a->refused += (int64_t)amount;
 			return false;
+		}
 		a->level -= amount;
 	}
 	a->consumed += (int64_t)amount;
+	a->used = true;
 	return true;
 }
 
@@ -116,18 +165,30 @@
 	if (!a || a->rate_per_s <= 0)
 		return 0;
 	refill(rl, a, now_us);
-	if (amount > a->burst)
-		amount = a->burst;
+	amount = required_level(rl, a, amount, now_us);
 	return a->level >= amount ? 0 : (amount - a->level) / a->rate_per_s;
 }
 
+uint64_t ratelimit_refused_key(uint64_t key)
+{
+	return key ^ REFUSED_MASK;
+}
+
 void ratelimit_deduct(struct ratelimit *rl, uint64_t key, int64_t amount,
 		      int64_t now_us)
 {
 	struct ratelimit_account *a = find_key(rl, key);
 
-	if (!a || a->rate_per_s <= 0)
+	if (!a) {
+		a = find_key(rl, key ^ REFUSED_MASK);
+		if (a && amount > 0)
+			add_demand(a, (double)amount, now_us);
+		return;
+	}
+	if (a->rate_per_s <= 0)
 		return;
+	if (amount > 0)
+		add_demand(a, (double)amount, now_us);
 	refill(rl, a, now_us);
 	a->level -= (double)amount;
 	if (a->level < -a->burst)
@@ -135,10 +196,11 @@
 }
 
 void ratelimit_set_hosts(struct ratelimit *rl, uint32_t n, uint32_t living,
-			 int64_t now_us)
+			 int64_t staleness_us, int64_t now_us)
 {
 	uint32_t i;
 
+	rl->staleness_us = staleness_us;
 	if (n == rl->n_hosts && living == rl->living_hosts)
 		return;
 	for (i = 0; i < rl->n_accounts; i++)
--- a/pkg/ratelimit/ratelimit.h
+++ b/pkg/ratelimit/ratelimit.h
@@ -12,6 +12,11 @@
  * host that is not heard of is assumed to consume an equal part of the rate, so
  * that hosts that cannot reach each other do not exceed the limit together.
  *
+ * What other hosts have consumed since this host last heard of them is estimated
+ * from what their callers requested lately. While a bucket holds less than that,
+ * a request is admitted with the probability that leaves its part to the other
+ * hosts; otherwise all hosts would spend the same tokens.
+ *
  * Times are in microseconds of a monotonic clock of this host. Amounts are in
  * the unit of the account's limit: requests or tokens.
  */
@@ -27,9 +32,13 @@
 	/* Amount in the bucket. Negative after late reports, or after an amount
 	 * above the burst. */
 	double level;
-	int64_t refilled_us; /* when level was last brought up to date */
-	int64_t consumed;    /* by this host since its start, less refunds */
-	uint64_t key;	     /* namehash() of its name */
+	int64_t refilled_us;  /* when level was last brought up to date */
+	int64_t consumed;     /* by this host since its start, less refunds */
+	bool used;	      /* this host consumed some, if only for a time */
+	int64_t refused;      /* by this host since its start */
+	double others_demand; /* requested of other hosts, decaying */
+	int64_t others_demand_us; /* when that was last brought up to date */
+	uint64_t key;		  /* namehash() of its name */
 };
 
 struct ratelimit {
@@ -38,6 +47,9 @@
 	uint32_t n_hosts;      /* that share the limits, this one included */
 	uint32_t living_hosts; /* of these, the ones that are heard of */
 	double slack;	       /* added to every burst */
+	/* Age of what is known of other hosts. */
+	int64_t staleness_us;
+	uint64_t random; /* state of the random generator */
 };
 
 /* Starts without accounts, and as the only host. Returns 0. */
@@ -67,18 +79,24 @@
  */
 double ratelimit_wait_s(struct ratelimit *rl, const char *name, double amount,
 			int64_t now_us);
+/*
+ * Returns the key under which hosts report what they refused of an account.
+ */
+uint64_t ratelimit_refused_key(uint64_t key);
 /*
  * Deducts what other hosts have consumed of the account with this key; negative
- * for refunds. The level does not fall below -burst.
+ * for refunds. The level does not fall below -burst. With the key of refusals it
+ * only counts as requested.
  */
 void ratelimit_deduct(struct ratelimit *rl, uint64_t key, int64_t amount,
 		      int64_t now_us);
 /*
  * Sets the number of hosts that share the limits, and of those that are heard
- * of, both with this host. The others may consume their part unseen.
+ * of, both with this host, and how old what is known of them is. The others may
+ * consume their part unseen.
  */
 void ratelimit_set_hosts(struct ratelimit *rl, uint32_t n, uint32_t living,
-			 int64_t now_us);
+			 int64_t staleness_us, int64_t now_us);
 
 /*
  * The retry budget of a service, a token bucket: each request of a caller
--- a/pkg/relay/relay.c
+++ b/pkg/relay/relay.c
@@ -367,6 +367,11 @@
 		return false;
 	is_new = !h->addr[0];
 	h->recorded = true;
+	if (is_new && !h->known) {
+		h->silent_us = now_us;
+		TAILQ_INSERT_TAIL(&r->silent, h, entry);
+		set_known(h, true);
+	}
 	snprintf(h->addr, sizeof(h->addr), "%s", addr);
 	set_domain(r, h, domain);
 	return is_new;
@@ -545,17 +550,22 @@
 			uint64_t counter, const struct fig_share *s,
 			int64_t now_us)
 {
-	struct totals_row row[FIG_SPENT_MAX];
+	struct totals_row row[2 * FIG_SPENT_MAX];
 	struct totals_report report = {
 		.source = h->id, .boot = boot, .counter = counter, .row = row};
 	totals_fn count = h->domain == r->own_domain ? count_local
 						     : count_remote;
+	uint32_t i;
 
-	for (; report.n < s->spent.spent_len; report.n++) {
-		row[report.n].key =
-			namehash(s->spent.spent_val[report.n].account);
-		row[report.n].amount =
-			(int64_t)s->spent.spent_val[report.n].amount;
+	for (i = 0; i < s->spent.spent_len; i++) {
+		row[report.n].key = namehash(s->spent.spent_val[i].account);
+		row[report.n++].amount = (int64_t)s->spent.spent_val[i].amount;
+	}
+	for (i = 0; i < s->refused.refused_len; i++) {
+		row[report.n].key = ratelimit_refused_key(
+			namehash(s->refused.refused_val[i].account));
+		row[report.n++].amount =
+			(int64_t)s->refused.refused_val[i].amount;
 	}
 	report.young = (int64_t)s->uptime_ms * 1000 < now_us - r->start_us;
 	/* The rows of its domain's delegates count this host already. */
@@ -626,7 +636,7 @@
 		       uint64_t counter, const struct fig_account_total *spent,
 		       uint32_t n, totals_fn count)
 {
-	struct totals_row row[FIG_SPENT_MAX];
+	struct totals_row row[FIG_TOTALS_MAX];
 	struct totals_report report = {.source = h->id,
 				       .boot = boot,
 				       .counter = counter,
@@ -851,7 +861,8 @@
 	choose_mode(r, now_us);
 	expire(r, now_us);
 	ratelimit_set_hosts(r->limits, relay_known(r, now_us),
-			    relay_living(r, now_us), now_us);
+			    relay_living(r, now_us),
+			    relay_staleness_us(r, now_us), now_us);
 	if (r->mode == RELAY_MESH &&
 	    (r->n_hosts + 1) * MESH_REPORT_PER_HOST_US > interval_us)
 		interval_us = (r->n_hosts + 1) * MESH_REPORT_PER_HOST_US;
@@ -904,9 +915,13 @@
 	uint32_t i;
 	int c;
 
-	for (i = 0; i < r->limits->n_accounts; i++)
-		if (a[i].consumed)
+	for (i = 0; i < r->limits->n_accounts; i++) {
+		if (a[i].used)
 			totals_column(&r->accounts, a[i].key);
+		if (a[i].refused)
+			totals_column(&r->accounts,
+				      ratelimit_refused_key(a[i].key));
+	}
 	sum = calloc(r->accounts.n + 1, sizeof(*sum));
 	*out = calloc(r->accounts.n + 1, sizeof(**out));
 	if (!sum || !*out) {
@@ -917,14 +932,18 @@
 		sum[i] = counted[i] -
 			 (without ? totals_counted(&without->spent, i) : 0);
 	for (i = 0; i < r->limits->n_accounts; i++) {
-		c = a[i].consumed ? totals_column(&r->accounts, a[i].key) : -1;
+		c = a[i].used ? totals_column(&r->accounts, a[i].key) : -1;
 		if (c >= 0)
 			sum[c] += a[i].consumed;
+		c = a[i].refused
+			    ? totals_column(&r->accounts,
+					    ratelimit_refused_key(a[i].key))
+			    : -1;
+		if (c >= 0)
+			sum[c] += a[i].refused;
 	}
 	*n = 0;
-	for (i = 0; i < r->accounts.n && i < FIG_SPENT_MAX; i++) {
-		if (!sum[i])
-			continue;
+	for (i = 0; i < r->accounts.n && i < FIG_TOTALS_MAX; i++) {
 		(*out)[*n].account = r->accounts.key[i];
 		(*out)[(*n)++].amount = sum[i];
 	}
--- a/pkg/relay/relay.h
+++ b/pkg/relay/relay.h
@@ -58,7 +58,7 @@
 	struct relay_host **host; /* ascending ids; owned */
 	uint32_t n;
 	uint32_t capacity;
-	/* Hosts heard of, and of these in RELAY_ALIVE_US; without this one. */
+	/* Known hosts, and of these the living ones; without this one. */
 	uint32_t known;
 	uint32_t alive;
 	/* The same by the last digest, with this one. */
@@ -253,6 +253,8 @@
 			   int64_t now_us);
 /* Returns the age of the oldest part of what this host knows; -1 if nothing. */
 int64_t relay_age_us(const struct relay *r, int64_t now_us);
+/* Returns how old what this host knows of consumption usually is by now. */
+int64_t relay_staleness_us(const struct relay *r, int64_t now_us);
 /* Returns true if this host's sums come from digests, not from rows. */
 bool relay_uses_digest(const struct relay *r, int64_t now_us);
 /* Returns true if a delegate has been one for long enough to know all hosts. */
--- a/pkg/relay/view.c
+++ b/pkg/relay/view.c
@@ -139,6 +139,18 @@
 	return oldest ? now_us - oldest->heard_us : -1;
 }
 
+/* Rows are on their way for up to two intervals before a digest sums them up. */
+int64_t relay_staleness_us(const struct relay *r, int64_t now_us)
+{
+	const struct relay_host *newest = TAILQ_LAST(&r->alive, relay_hosts);
+	int64_t heard_us = newest ? newest->heard_us : r->start_us;
+
+	if (relay_uses_digest(r, now_us))
+		return now_us - (r->digest_us ? r->digest_us : r->start_us) +
+		       RELAY_REPORT_US;
+	return now_us - heard_us + RELAY_REPORT_US;
+}
+
 static bool reads_store(const struct relay_host *h, int64_t now_us)
 {
 	return h->offsets_us && now_us - h->offsets_us < READER_STALE_US &&
--- a/pkg/totals/totals.h
+++ b/pkg/totals/totals.h
@@ -33,7 +33,7 @@
 	uint32_t *sorted; /* columns in ascending order of their keys; owned */
 };
 
-#define TOTALS_KEYS_MAX 1024
+#define TOTALS_KEYS_MAX 2048
 
 struct totals_source {
 	TAILQ_ENTRY(totals_source) entry;
--- a/pkg/wire/fig_msg.x
+++ b/pkg/wire/fig_msg.x
@@ -210,6 +210,7 @@
 	unsigned hyper uptime_ms;
 	unsigned int waiting; /* requests that wait for an endpoint */
 	bool asks; /* for a digest */
+	fig_spent refused<FIG_SPENT_MAX>; /* of accounts, since its start */
 };
 
 const FIG_STREAMS = 3;
@@ -248,7 +249,7 @@
 	fig_name addr;
 	unsigned hyper upto[FIG_STREAMS];
 	unsigned int following;
-	fig_account_total spent<FIG_SPENT_MAX>; /* by the domain's hosts */
+	fig_account_total spent<FIG_TOTALS_MAX>; /* by the domain's hosts */
 	fig_host_row row<FIG_ROWS_MAX>; /* of the domain */
 };
 
@@ -268,7 +269,7 @@
 	unsigned int oldest_ms; /* age of the oldest row that it sums up */
 	unsigned int waiting; /* requests, of all other hosts */
 	fig_domain_hosts domains<FIG_DOMAINS_MAX>; /* all hosts are counted */
-	fig_account_total spent<FIG_SPENT_MAX>;
+	fig_account_total spent<FIG_TOTALS_MAX>;
 	fig_total load<FIG_TOTALS_MAX>;
 };
 
--- a/pkg/wire/gen/fig_msg.h
+++ b/pkg/wire/gen/fig_msg.h
@@ -243,6 +243,10 @@
 	u_quad_t uptime_ms;
 	u_int waiting;
 	bool_t asks;
+	struct {
+		u_int refused_len;
+		fig_spent *refused_val;
+	} refused;
 };
 typedef struct fig_share fig_share;
 #define FIG_STREAMS 3
--- a/pkg/wire/gen/fig_msg_xdr.c
+++ b/pkg/wire/gen/fig_msg_xdr.c
@@ -489,6 +489,9 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->asks))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->refused.refused_val, (u_int *) &objp->refused.refused_len, FIG_SPENT_MAX,
+		sizeof (fig_spent), (xdrproc_t) xdr_fig_spent))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -554,7 +557,7 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->following))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->spent.spent_val, (u_int *) &objp->spent.spent_len, FIG_SPENT_MAX,
+	 if (!xdr_array (xdrs, (char **)&objp->spent.spent_val, (u_int *) &objp->spent.spent_len, FIG_TOTALS_MAX,
 		sizeof (fig_account_total), (xdrproc_t) xdr_fig_account_total))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->row.row_val, (u_int *) &objp->row.row_len, FIG_ROWS_MAX,
@@ -612,7 +615,7 @@
 		 if (!xdr_array (xdrs, (char **)&objp->domains.domains_val, (u_int *) &objp->domains.domains_len, FIG_DOMAINS_MAX,
 			sizeof (fig_domain_hosts), (xdrproc_t) xdr_fig_domain_hosts))
 			 return FALSE;
-		 if (!xdr_array (xdrs, (char **)&objp->spent.spent_val, (u_int *) &objp->spent.spent_len, FIG_SPENT_MAX,
+		 if (!xdr_array (xdrs, (char **)&objp->spent.spent_val, (u_int *) &objp->spent.spent_len, FIG_TOTALS_MAX,
 			sizeof (fig_account_total), (xdrproc_t) xdr_fig_account_total))
 			 return FALSE;
 		 if (!xdr_array (xdrs, (char **)&objp->load.load_val, (u_int *) &objp->load.load_len, FIG_TOTALS_MAX,
@@ -647,7 +650,7 @@
 		 if (!xdr_array (xdrs, (char **)&objp->domains.domains_val, (u_int *) &objp->domains.domains_len, FIG_DOMAINS_MAX,
 			sizeof (fig_domain_hosts), (xdrproc_t) xdr_fig_domain_hosts))
 			 return FALSE;
-		 if (!xdr_array (xdrs, (char **)&objp->spent.spent_val, (u_int *) &objp->spent.spent_len, FIG_SPENT_MAX,
+		 if (!xdr_array (xdrs, (char **)&objp->spent.spent_val, (u_int *) &objp->spent.spent_len, FIG_TOTALS_MAX,
 			sizeof (fig_account_total), (xdrproc_t) xdr_fig_account_total))
 			 return FALSE;
 		 if (!xdr_array (xdrs, (char **)&objp->load.load_val, (u_int *) &objp->load.load_len, FIG_TOTALS_MAX,
@@ -674,7 +677,7 @@
 	 if (!xdr_array (xdrs, (char **)&objp->domains.domains_val, (u_int *) &objp->domains.domains_len, FIG_DOMAINS_MAX,
 		sizeof (fig_domain_hosts), (xdrproc_t) xdr_fig_domain_hosts))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->spent.spent_val, (u_int *) &objp->spent.spent_len, FIG_SPENT_MAX,
+	 if (!xdr_array (xdrs, (char **)&objp->spent.spent_val, (u_int *) &objp->spent.spent_len, FIG_TOTALS_MAX,
 		sizeof (fig_account_total), (xdrproc_t) xdr_fig_account_total))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->load.load_val, (u_int *) &objp->load.load_len, FIG_TOTALS_MAX,
