--- a/cmd/figbend/gateway/gateway.h
+++ b/cmd/figbend/gateway/gateway.h
@@ -190,6 +190,8 @@
  */
 bool store_reader_check_lag(struct gateway *g, enum adapter_topic t,
 			    uint64_t peer_offset);
+/* Reads the stream from the store at once, also if this host is passive. */
+void store_reader_poll(struct gateway *g, enum adapter_topic t);
 /* Deletes this host's record, so that peers need no time-out to remove it. */
 void store_reader_unregister(struct gateway *g);
 
--- a/cmd/figbend/gateway/heartbeat.c
+++ b/cmd/figbend/gateway/heartbeat.c
@@ -22,6 +22,9 @@
 #define DELEGATES_INTERVAL_S 0.4
 #define MESH_INTERVAL_PER_HOST_S 0.01
 #define FETCH_TIMEOUT_MS 800
+/* Records of operators that are larger are read from the store, whose link is
+ * wider: half of the hosts of a domain ask each delegate at the same time. */
+#define OPERATORS_MAX_BYTES 32768
 /* Separates the domain from the name in the key of a host's record. */
 #define KEY_SEPARATOR '/'
 
@@ -130,6 +133,8 @@
 	if (got->topic < FIG_STREAMS &&
 	    got->upto > g->records[got->topic].next_offset)
 		g->records[got->topic].next_offset = got->upto;
+	else if (got->topic == ADAPTER_OPERATORS && !got->upto)
+		store_reader_poll(g, ADAPTER_OPERATORS);
 	free(f);
 }
 
@@ -160,9 +165,21 @@
 	}
 }
 
+static size_t records_bytes(const struct records *r, uint64_t from)
+{
+	size_t n = 0;
+	uint32_t i;
+
+	for (i = 0; i < r->n; i++)
+		if (r->row[i].offset >= from)
+			n += r->row[i].value_bytes;
+	return n;
+}
+
 /*
- * Fills a reply with all records from an offset on. Returns 0 or a negative
- * error number; the caller frees the reply in either case.
+ * Fills a reply with all records from an offset on, or with none up to offset 0
+ * if they are too large. Returns 0 or a negative error number; the caller frees
+ * the reply in either case.
  */
 static int fill_records(struct gateway *g, const struct fig_records_get *get,
 			struct fig_records_got *got)
@@ -175,6 +192,9 @@
 		return -EINVAL;
 	r = &g->records[get->topic];
 	got->topic = get->topic;
+	if (get->topic == ADAPTER_OPERATORS &&
+	    records_bytes(r, get->from) > OPERATORS_MAX_BYTES)
+		return 0;
 	got->upto = r->next_offset;
 	got->record.record_val = calloc(r->n + 1, sizeof(*row));
 	if (!got->record.record_val)
--- a/cmd/figbend/gateway/pools.c
+++ b/cmd/figbend/gateway/pools.c
@@ -199,6 +199,7 @@
 				     h1_buf_len(&r->body),
 				     r->reservation) == 0) {
 		stats_add(&r->g->stats, STATS_RESERVATIONS, 1);
+		fleet_record_capacity(r->endpoint);
 		start_prefill(r);
 	} else if (outcome != H1_COMPLETE) {
 		reservation_denied(r,
--- a/cmd/figbend/gateway/store_reader.c
+++ b/cmd/figbend/gateway/store_reader.c
@@ -508,10 +508,10 @@
 
 	if (sr->domain_page || (sr->topic == ADAPTER_OPERATORS && empty))
 		return false;
-	if (!empty || sr->after_key[0])
-		return heartbeat_may_be_passive(g);
-	return gateway_now_us(g) - g->relay.start_us < START_WAIT_US &&
-	       (heartbeat_may_be_passive(g) || relay_has_seniors(&g->relay));
+	if (gateway_now_us(g) - g->relay.start_us < START_WAIT_US &&
+	    relay_has_seniors(&g->relay))
+		return true;
+	return !empty && heartbeat_may_be_passive(g);
 }
 
 static void on_timer(struct ev_loop *loop, ev_timer *w, int events)
@@ -605,15 +605,6 @@
 
 	if (peer_offset <= g->records[t].next_offset)
 		return false;
-	if (sr->passive && t == ADAPTER_OPERATORS) {
-		/* A configuration may be too large to be sent to all passive
-		 * hosts over the link of a peer; the store's link is wider. */
-		if (!sr->exchange.conn && !sr->poll_now) {
-			sr->poll_now = true;
-			set_timer(sr, 0.);
-		}
-		return false;
-	}
 	if (sr->passive)
 		return true;
 	if (!stuck)
@@ -632,6 +623,17 @@
 	return true;
 }
 
+/* See gateway.h. */
+void store_reader_poll(struct gateway *g, enum adapter_topic t)
+{
+	struct store_reader *sr = &g->reader[t];
+
+	if (sr->exchange.conn || sr->poll_now)
+		return;
+	sr->poll_now = true;
+	set_timer(sr, 0.);
+}
+
 /* See gateway.h. */
 void store_reader_init(struct gateway *g)
 {
--- a/pkg/fleet/fleet.c
+++ b/pkg/fleet/fleet.c
@@ -11,8 +11,10 @@
 /* Length of the first ejection; each further failure doubles it. */
 #define EJECTION_BASE_US 500000LL
 #define EJECTION_MAX_US 4000000LL
-/* Time without new requests after one was refused for lack of capacity. */
+/* Time without new requests after one was refused for lack of capacity; each
+ * further refusal doubles it. A stream ends at an engine about every 0.5 s. */
 #define FULL_BACKOFF_US 30000LL
+#define FULL_BACKOFF_MAX_US 240000LL
 /* Weights of the newest value in the exponential averages. */
 #define FAILURE_RATE_WEIGHT 0.15
 #define LATENCY_WEIGHT 0.2
@@ -223,11 +225,27 @@
 	e->ejected_until_us = now_us + ejection_us;
 }
 
+static int64_t full_backoff_us(const struct fleet_endpoint *e)
+{
+	int64_t us = FULL_BACKOFF_US;
+	uint32_t i;
+
+	for (i = 0; i < e->refusals && us < FULL_BACKOFF_MAX_US; i++)
+		us *= 2;
+	return us;
+}
+
+void fleet_record_capacity(struct fleet_endpoint *e)
+{
+	e->refusals = 0;
+}
+
 void fleet_record_outcome(struct fleet_endpoint *e, enum fleet_outcome outcome,
 			  int64_t took_us, int64_t now_us)
 {
 	switch (outcome) {
 	case FLEET_SUCCESS:
+		e->refusals = 0;
 		e->consecutive_failures = 0;
 		e->ejected_until_us = 0;
 		e->failure_rate *= 1 - FAILURE_RATE_WEIGHT;
@@ -237,7 +255,8 @@
 			((double)took_us - e->latency_us) * LATENCY_WEIGHT;
 		break;
 	case FLEET_OVERLOADED:
-		e->full_until_us = now_us + FULL_BACKOFF_US;
+		e->full_until_us = now_us + full_backoff_us(e);
+		e->refusals++;
 		break;
 	case FLEET_MISDIRECTED:
 		e->consecutive_failures = FAILURES_MAX;
--- a/pkg/fleet/fleet.h
+++ b/pkg/fleet/fleet.h
@@ -81,6 +81,7 @@
 	 * the endpoint gets one probe at a time. 0 if not ejected. */
 	int64_t ejected_until_us;
 	int64_t full_until_us; /* end of the backoff after a refusal */
+	uint32_t refusals;     /* consecutive, for lack of capacity */
 	double failure_rate;   /* exponential average, 0 to 1 */
 	double latency_us;     /* exponential average, 0 if unknown */
 	int64_t cold_until_us; /* end of the warm-up */
@@ -216,6 +217,8 @@
  */
 void fleet_record_outcome(struct fleet_endpoint *e, enum fleet_outcome outcome,
 			  int64_t took_us, int64_t now_us);
+/* The endpoint had capacity for a request: refusals before do not count. */
+void fleet_record_capacity(struct fleet_endpoint *e);
 /* Records the load that the endpoint reported in a response. */
 void fleet_record_load(struct fleet_endpoint *e, uint32_t running,
 		       uint32_t waiting, int64_t now_us);
--- a/pkg/relay/relay.c
+++ b/pkg/relay/relay.c
@@ -24,6 +24,8 @@
 #define RETRY_US 2000000LL
 /* Hosts of a domain without known delegates that get rows at each tick. */
 #define PROBES 5
+/* A row whose load did not change is sent again after this time. */
+#define ROWS_REFRESH_US 500000LL
 /* A host that is silent for this long is taken to be gone, if others of its
  * domain are alive; else the domain may be cut off, and its hosts go on using
  * their part of limits. */
@@ -243,6 +245,9 @@
 	struct relay_load *t;
 	uint32_t i;
 
+	if (n != h->n_loads || waiting != h->waiting ||
+	    (n && memcmp(load, h->load, n * sizeof(*load)) != 0))
+		h->row_sent_us = 0;
 	clear_load(r, h);
 	h->load = load;
 	for (i = 0; i < n; i++) {
@@ -951,7 +956,8 @@
 	return 0;
 }
 
-/* The rows of this host and of those of its domain that report to it. */
+/* The rows of this host and of those of its domain that report to it, as far as
+ * they have changed or were not sent lately. */
 int relay_fill_rows(struct relay *r, struct fig_rows *rows, int64_t now_us)
 {
 	const struct relay_domain *d = r->own_domain;
@@ -974,11 +980,14 @@
 	if (fill_row(row, r->self.load, r->self.n_loads) < 0)
 		return -ENOMEM;
 	for (i = 0; i < d->n && rows->row.row_len < FIG_ROWS_MAX; i++) {
-		const struct relay_host *h = d->host[i];
+		struct relay_host *h = d->host[i];
 
 		if (!h->alive || !h->direct_us ||
-		    now_us - h->direct_us > RELAY_ALIVE_US)
+		    now_us - h->direct_us > RELAY_ALIVE_US ||
+		    (h->row_sent_us &&
+		     now_us - h->row_sent_us < ROWS_REFRESH_US))
 			continue;
+		h->row_sent_us = now_us;
 		row = &rows->row.row_val[rows->row.row_len++];
 		row->host = h->id;
 		row->boot = h->boot;
--- a/pkg/relay/relay.h
+++ b/pkg/relay/relay.h
@@ -85,6 +85,7 @@
 	int64_t heard_us;  /* when that report was made, by this host's clock */
 	int64_t direct_us; /* last report received from the host itself */
 	int64_t silent_us; /* start of its silence, if not alive */
+	int64_t row_sent_us; /* when its load was last sent; 0 if it changed */
 	struct relay_load *load; /* owned */
 	uint32_t n_loads;
 	uint32_t waiting;	   /* its requests that wait */
