drain, gateway: accept while stopping what can end in time; count prompts read in vain

Change: pkg/drain. A stream is accepted if its hint and the pace of recent streams say that it ends in time, a call if its deadline is before the end. Besides: counters of prompt tokens read in vain by cause, and the cause in request_end.

--- a/cmd/figbend/gateway/gateway.c
+++ b/cmd/figbend/gateway/gateway.c
@@ -13,9 +13,10 @@
  * Start and stop of the daemon that runs with --pools, and its listeners for
  * callers, readiness probes and metrics.
  *
- * After SIGTERM the host reports that it is not ready, accepts requests until
- * the load balancer has removed it, closes idle connections from then on and
- * exits when all are closed, at the latest shortly before stop_s is over.
+ * After SIGTERM the host reports that it is not ready, accepts what it can
+ * complete (pkg/drain), closes idle connections once the load balancer has
+ * removed it, and exits when all are closed, at the latest shortly before stop_s
+ * is over.
  */
 
 #define SWEEP_INTERVAL_S 0.1
@@ -23,14 +24,6 @@
 #define CONNECT_TIMEOUT_S 0.3
 #define IDLE_MAX_S 10.0
 #define STORE_CONNECT_TIMEOUT_S 0.4
-/* The load balancer probes readiness once a second and removes a host after two
- * failed probes. New requests are accepted for this long after SIGTERM; later
- * ones could not finish before the process exits and are refused. */
-#define STOP_ACCEPT_US 2900000LL
-/* New requests are accepted for at most this share of stop_s. */
-#define STOP_ACCEPT_SHARE 0.375
-/* Requests that are in progress this long before stop_s is over are aborted. */
-#define STOP_MARGIN_S 0.3
 /* Requests that are being read may use a quarter of memory_mb. */
 #define REQUEST_MEMORY_DIVISOR 4
 /* File descriptors kept for everything but callers' connections. */
@@ -60,7 +53,7 @@
 /* The readiness probe's result: true if callers should connect to this host. */
 bool gateway_is_ready(const struct gateway *g)
 {
-	return !g->stopping && g->directory && g->fleet.n_endpoints &&
+	return !g->drain.stopping && g->directory && g->fleet.n_endpoints &&
 	       !gateway_is_isolated(g);
 }
 
@@ -70,17 +63,6 @@
 	       g->last_unserved_us > g->isolated_since_us;
 }
 
-bool gateway_accepts_requests(const struct gateway *g)
-{
-	double elapsed_us;
-
-	if (!g->stopping)
-		return true;
-	elapsed_us = (double)(gateway_now_us(g) - g->stop_start_us);
-	return elapsed_us < STOP_ACCEPT_US &&
-	       elapsed_us < g->settings->stop_s * 1e6 * STOP_ACCEPT_SHARE;
-}
-
 static void on_ready_request(void *ctx, struct h1_conn *c)
 {
 	struct gateway *g = ctx;
@@ -131,10 +113,9 @@
 {
 	struct gateway *g = w->data;
 
-	if (g->stopping)
+	if (g->drain.stopping)
 		return;
-	g->stopping = true;
-	g->stop_start_us = gateway_now_us(g);
+	drain_start(&g->drain, gateway_now_us(g));
 	g->callers.draining = true;
 	logline(LOG_NOTICE, "stopping", "running=%u connections=%u", g->n_reqs,
 		g->callers.conns_n);
@@ -149,19 +130,17 @@
 		"restart to apply changes\"");
 }
 
-/* Ends the loop once all connections are closed or stop_s is nearly over. */
+/* Ends the loop once all connections are closed or the stop is nearly over. */
 static void check_stop(struct gateway *g, int64_t now_us)
 {
-	double elapsed_s = (double)(now_us - g->stop_start_us) / 1e6;
-
-	if (!gateway_accepts_requests(g))
-		h1_server_close_idle(&g->callers);
-	else
+	if (drain_is_listening(&g->drain, now_us))
 		return;
+	h1_server_close_idle(&g->callers);
 	if (!g->n_reqs && !g->callers.conns_n)
 		ev_break(g->loop, EVBREAK_ALL);
-	if (elapsed_s > g->settings->stop_s - STOP_MARGIN_S) {
+	if (drain_is_over(&g->drain, now_us)) {
 		logline(LOG_WARNING, "stop_cut", "running=%u", g->n_reqs);
+		req_abort_all(g);
 		ev_break(g->loop, EVBREAK_ALL);
 	}
 }
@@ -172,7 +151,7 @@
 	int64_t now_us = gateway_now_us(g);
 
 	fleet_expire(&g->fleet, now_us);
-	if (g->stopping)
+	if (g->drain.stopping)
 		check_stop(g, now_us);
 }
 
@@ -241,6 +220,7 @@
 	g->retry_budgets.window_s = s->retry_window_s;
 	h1_client_init(&g->endpoints, g->loop, CONNECT_TIMEOUT_S, IDLE_MAX_S);
 	h1_client_init(&g->store, g->loop, STORE_CONNECT_TIMEOUT_S, IDLE_MAX_S);
+	drain_init(&g->drain, s->stop_s);
 	crash_init(g);
 	req_init(g);
 	r = heartbeat_init(g);
--- a/cmd/figbend/gateway/gateway.h
+++ b/cmd/figbend/gateway/gateway.h
@@ -9,6 +9,7 @@
 #include "adapter.h"
 #include "call.h"
 #include "directory.h"
+#include "drain.h"
 #include "fleet.h"
 #include "h1.h"
 #include "peer.h"
@@ -92,8 +93,7 @@
 	ev_signal on_hup;
 	ev_timer sweep;
 	ev_prepare log_flush;
-	bool stopping;
-	int64_t stop_start_us;
+	struct drain drain;
 
 	/* store_reader.c; heartbeat.c also writes records */
 	struct store_reader reader[ADAPTER_TOPICS];
@@ -162,12 +162,6 @@
  * since been called: other domains then serve callers better than this one.
  */
 bool gateway_is_isolated(const struct gateway *g);
-/*
- * Returns false if the process is stopping and a request that comes now may not
- * complete before it ends.
- */
-bool gateway_accepts_requests(const struct gateway *g);
-
 /*
  * store_reader.c: the streams of the store. store_reader_init() starts to read
  * them, and writes this host's record, again each second until that succeeds.
@@ -259,6 +253,8 @@
 void req_init(struct gateway *g);
 void req_on_request(void *ctx, struct h1_conn *c);
 void req_on_disconnect(void *ctx, struct h1_conn *c);
+/* Logs the requests in progress as aborted; the process exits next. */
+void req_abort_all(struct gateway *g);
 /* Tries again to place the requests that wait for capacity. */
 void req_advance_waiting(struct gateway *g);
 
--- a/cmd/figbend/gateway/heartbeat.c
+++ b/cmd/figbend/gateway/heartbeat.c
@@ -447,7 +447,7 @@
 		g->isolated_since_us ? "domains_lost" : "domains_back",
 		"domain=%s hosts=%u running=%u", g->settings->domain,
 		g->fleet.hosts, g->n_reqs);
-	g->callers.draining = g->stopping;
+	g->callers.draining = g->drain.stopping;
 }
 
 /* See gateway.h. */
--- a/cmd/figbend/gateway/pools.c
+++ b/cmd/figbend/gateway/pools.c
@@ -247,6 +247,11 @@
 
 	log_step_failed(r, r->prefill_endpoint, "prefill", reason);
 	stats_add(&r->g->stats, STATS_PREFILLS_WASTED, 1);
+	/* The endpoint processes a prompt even if its response is lost. */
+	r->prompt_processed = outcome == FLEET_TIMED_OUT ||
+			      outcome == FLEET_FAILED;
+	req_waste_prompt(r, outcome == FLEET_TIMED_OUT ? STATS_WASTED_PREFILL
+						       : STATS_WASTED_ENDPOINT);
 	fleet_record_outcome(r->prefill_endpoint, outcome, now_us - r->sent_us,
 			     now_us);
 	fleet_prefill_end(r->prefill_endpoint, r->call.prompt.prompt_tokens);
@@ -283,6 +288,7 @@
 			       "refused");
 		return;
 	}
+	r->prompt_processed = true;
 	stats_add(&r->g->stats, STATS_PREFILLS, 1);
 	stats_observe(&r->g->stats, STATS_PREFILL_S, now_us - r->sent_us);
 	fleet_record_outcome(r->prefill_endpoint, FLEET_SUCCESS,
@@ -345,9 +351,17 @@
 static void decode_failed(struct req *r, enum fleet_outcome outcome,
 			  bool may_have_executed, const char *reason)
 {
+	static const enum stats_counter causes[] = {
+		[FLEET_OVERLOADED] = STATS_WASTED_IMPORT,
+		[FLEET_FAILED] = STATS_WASTED_ENDPOINT,
+		[FLEET_CONNECT_FAILED] = STATS_WASTED_ENDPOINT,
+		[FLEET_TIMED_OUT] = STATS_WASTED_NO_EVENT,
+		[FLEET_MISDIRECTED] = STATS_WASTED_ENDPOINT,
+	};
 	int64_t now_us = gateway_now_us(r->g);
 
 	log_step_failed(r, r->endpoint, "decode", reason);
+	req_waste_prompt(r, causes[outcome]);
 	fleet_record_outcome(r->endpoint, outcome, now_us - r->sent_us, now_us);
 	if (outcome == FLEET_FAILED && may_have_executed)
 		crash_add_candidate(r);
@@ -425,6 +439,8 @@
 	if (!r->response_started) {
 		r->response_started = true;
 		r->status = 200;
+		r->prompt_processed = true;
+		r->first_event_us = now_us;
 		stats_observe(&r->g->stats, STATS_FIRST_EVENT_S,
 			      now_us - r->received_us);
 		h1_stream_start(r->conn, r->status, h1_buf_data(&r->fields));
--- a/cmd/figbend/gateway/req.c
+++ b/cmd/figbend/gateway/req.c
@@ -17,6 +17,8 @@
  * seconds end. */
 #define RETRY_AFTER_PLAIN_S 0.3
 #define RETRY_AFTER_POOLS_S 2.5
+/* Other hosts accept the request at once. */
+#define RETRY_AFTER_STOPPING_S 0.05
 
 /* Values of step= in the log. */
 static const char *const step_names[] = {
@@ -105,7 +107,8 @@
 		"request=%s outcome=%s status=%u why=\"%s\" step=%s route=%s "
 		"service=%s account=%s endpoint=%s took_ms=%lld left_ms=%lld "
 		"sends=%u ran=%u resumes=%u events=%llu gap_ms=%lld prompt=%u "
-		"out_max=%u out_likely=%u config=%lld",
+		"out_max=%u out_likely=%u wasted_tokens=%u wasted_by=%s "
+		"config=%lld",
 		r->call.id, outcome, status, reason, step_names[r->step],
 		r->route->name, r->service ? r->service->name : "-",
 		r->account ? r->account->name : "-",
@@ -116,10 +119,32 @@
 		(unsigned long long)r->events.n_events,
 		(long long)r->max_gap_us / 1000, r->call.prompt.prompt_tokens,
 		r->call.prompt.output_max_tokens,
-		r->call.prompt.output_expected_tokens,
+		r->call.prompt.output_expected_tokens, r->wasted_tokens,
+		r->wasted_by ? r->wasted_by : "-",
 		(long long)r->directory->version);
 }
 
+void req_waste_prompt(struct req *r, enum stats_counter cause)
+{
+	if (!r->prompt_processed)
+		return;
+	r->prompt_processed = false;
+	r->wasted_tokens += r->call.prompt.prompt_tokens;
+	r->wasted_by = stats_counter_name(cause);
+	stats_add(&r->g->stats, cause, r->call.prompt.prompt_tokens);
+}
+
+void req_abort_all(struct gateway *g)
+{
+	struct req *r;
+
+	TAILQ_FOREACH(r, &g->reqs, entry)
+	{
+		req_waste_prompt(r, STATS_WASTED_STOPPED);
+		log_end(r, "aborted", r->status, "this host stops");
+	}
+}
+
 /* Refunds the cost of a request that no endpoint executed. */
 static void refund(struct req *r)
 {
@@ -129,19 +154,23 @@
 
 void req_refuse(struct req *r, const char *reason)
 {
+	double after_s = r->service && r->service->engine.present
+				 ? RETRY_AFTER_POOLS_S
+				 : RETRY_AFTER_PLAIN_S;
 	char fields[64];
 
 	if (may_have_executed(r)) {
 		req_fail(r, 502, reason);
 		return;
 	}
+	req_waste_prompt(r, req_remaining_us(r) <= 0 ? STATS_WASTED_DEADLINE
+						     : STATS_WASTED_NO_MEMORY);
 	log_end(r, "refused", 503, reason);
 	refund(r);
 	stats_add(&r->g->stats, STATS_REFUSED_FULL, 1);
-	snprintf(fields, sizeof(fields), "Retry-After: %g\r\n",
-		 r->service && r->service->engine.present
-			 ? RETRY_AFTER_POOLS_S
-			 : RETRY_AFTER_PLAIN_S);
+	if (r->retry_after_s > 0)
+		after_s = r->retry_after_s;
+	snprintf(fields, sizeof(fields), "Retry-After: %g\r\n", after_s);
 	h1_respond(r->conn, 503, fields, NULL, 0);
 	req_free(r);
 }
@@ -165,6 +194,8 @@
 
 void req_fail(struct req *r, uint16_t status, const char *reason)
 {
+	req_waste_prompt(r, req_remaining_us(r) <= 0 ? STATS_WASTED_DEADLINE
+						     : STATS_WASTED_ENDPOINT);
 	if (r->response_started) {
 		log_end(r, "cut", r->status, reason);
 		stats_add(&r->g->stats, STATS_STREAMS_CUT, 1);
@@ -183,6 +214,9 @@
 	stats_add(&r->g->stats, STATS_ANSWERED, 1);
 	if (r->response_started) {
 		stats_observe(&r->g->stats, STATS_EVENT_GAP_S, r->max_gap_us);
+		drain_observe(&r->g->drain, r->first_event_us - r->received_us,
+			      r->last_event_us - r->first_event_us,
+			      r->events.n_events);
 		h1_stream_end(r->conn);
 	} else {
 		stats_observe(&r->g->stats, STATS_RESPONSE_S,
@@ -474,6 +508,23 @@
 	ev_timer_start(r->g->loop, &r->deadline_timer);
 }
 
+/* Returns false if this host stops before the request would end. */
+static bool may_accept(const struct req *r)
+{
+	const struct call_prompt *p = &r->call.prompt;
+	uint32_t tokens = p->output_expected_tokens ? p->output_expected_tokens
+						    : p->output_max_tokens;
+	uint32_t per_event = r->service->engine.tokens_per_event;
+
+	if (r->route->kind == CALL_STREAM)
+		return drain_accepts_stream(&r->g->drain,
+					    (double)tokens /
+						    (per_event ? per_event : 1),
+					    r->received_us);
+	return drain_accepts_call(&r->g->drain, r->deadline_us - r->received_us,
+				  r->received_us);
+}
+
 /* Creates the request and starts its first step. */
 static void start(struct gateway *g, struct h1_conn *c,
 		  const struct call_head *call,
@@ -500,6 +551,11 @@
 		req_refuse(r, "service of the route is not declared");
 		return;
 	}
+	if (!may_accept(r)) {
+		r->retry_after_s = RETRY_AFTER_STOPPING_S;
+		req_refuse(r, "this host is stopping");
+		return;
+	}
 	ratelimit_retry_deposit(&g->retry_budgets, r->service->name,
 				g->fleet.hosts, r->received_us);
 	req_advance(r);
@@ -520,12 +576,6 @@
 				 reason);
 		return;
 	}
-	if (!gateway_accepts_requests(g)) {
-		refuse_at_intake(g, c, call.id, 503, STATS_REFUSED_FULL,
-				 "Retry-After: 0.05\r\n",
-				 "this host is stopping");
-		return;
-	}
 	if (!g->directory) {
 		refuse_at_intake(g, c, call.id, 503, STATS_REFUSED_FULL,
 				 "Retry-After: 0.5\r\n",
@@ -564,6 +614,7 @@
 	if (!r)
 		return;
 	stats_add(&g->stats, STATS_DISCONNECTED, 1);
+	req_waste_prompt(r, STATS_WASTED_CALLER_GONE);
 	log_end(r, "caller_gone", r->status, "");
 	if (!may_have_executed(r))
 		refund(r);
--- a/cmd/figbend/gateway/req.h
+++ b/cmd/figbend/gateway/req.h
@@ -59,6 +59,11 @@
 	uint32_t executions;
 	uint32_t reservations_denied;
 	bool prefill_sent; /* a prefill was sent; no second one follows */
+	/* An endpoint processed the prompt for the present attempt. */
+	bool prompt_processed;
+	uint32_t wasted_tokens; /* of prompts processed in vain */
+	const char *wasted_by;	/* the last cause, or NULL */
+	double retry_after_s;	/* of a refusal; 0 for the default */
 	/* Endpoints not to choose again: addresses only, no references. */
 	const struct fleet_endpoint *excluded[REQ_EXCLUDED_MAX];
 	uint32_t n_excluded;
@@ -73,6 +78,7 @@
 	/* Stream to the caller. */
 	bool response_started; /* the header section was sent to the caller */
 	struct sse_parser events;
+	int64_t first_event_us;
 	int64_t last_event_us;
 	int64_t max_gap_us; /* longest time between two events */
 	uint32_t resumes; /* times that the stream moved to another endpoint */
@@ -113,6 +119,11 @@
 void req_free(struct req *r);
 /* Drops the reference to the endpoint and what is counted there. */
 void req_detach_endpoint(struct req *r);
+/*
+ * Counts the prompt as processed in vain, if it was processed for the present
+ * attempt, and logs the cause at the end of the request.
+ */
+void req_waste_prompt(struct req *r, enum stats_counter cause);
 /* Queues the request until an endpoint may have capacity. */
 void req_enqueue(struct req *r);
 /* Starts the next step; no exchange may be in progress. May free r. */
--- /dev/null
+++ b/pkg/drain/drain.c
@@ -0,0 +1,75 @@
+#include "drain.h"
+
+#include <string.h>
+
+/* The load balancer probes readiness once a second and removes a host after two
+ * failed probes. */
+#define LISTEN_US 2900000LL
+#define LISTEN_SHARE 0.375 /* of the grace, at most */
+/* Requests that run this long before the grace is over are aborted. */
+#define MARGIN_US 300000LL
+/* Half of the streams are longer than the caller's hint says. */
+#define LENGTH_FACTOR 1.6
+/* Weight of the newest stream in the averages. */
+#define AVERAGE_WEIGHT 0.1
+#define DEFAULT_EVENT_US 50000.0
+#define DEFAULT_FIRST_US 400000.0
+
+void drain_init(struct drain *d, double grace_s)
+{
+	memset(d, 0, sizeof(*d));
+	d->grace_us = (int64_t)(grace_s * 1e6);
+	d->event_us = DEFAULT_EVENT_US;
+	d->first_us = DEFAULT_FIRST_US;
+}
+
+void drain_start(struct drain *d, int64_t now_us)
+{
+	d->stopping = true;
+	d->start_us = now_us;
+}
+
+static int64_t left_us(const struct drain *d, int64_t now_us)
+{
+	return d->start_us + d->grace_us - MARGIN_US - now_us;
+}
+
+bool drain_is_listening(const struct drain *d, int64_t now_us)
+{
+	int64_t elapsed_us = now_us - d->start_us;
+
+	return !d->stopping ||
+	       (elapsed_us < LISTEN_US &&
+		elapsed_us < (int64_t)(LISTEN_SHARE * (double)d->grace_us));
+}
+
+bool drain_is_over(const struct drain *d, int64_t now_us)
+{
+	return d->stopping && left_us(d, now_us) < 0;
+}
+
+void drain_observe(struct drain *d, int64_t first_us, int64_t stream_us,
+		   uint64_t events)
+{
+	d->first_us += ((double)first_us - d->first_us) * AVERAGE_WEIGHT;
+	if (events > 1)
+		d->event_us += ((double)stream_us / (double)(events - 1) -
+				d->event_us) *
+			       AVERAGE_WEIGHT;
+}
+
+bool drain_accepts_call(const struct drain *d, int64_t longest_us,
+			int64_t now_us)
+{
+	return drain_is_listening(d, now_us) || longest_us < left_us(d, now_us);
+}
+
+bool drain_accepts_stream(const struct drain *d, double events, int64_t now_us)
+{
+	double expected_us = d->first_us + events * LENGTH_FACTOR * d->event_us;
+
+	if (!d->stopping)
+		return true;
+	return drain_is_listening(d, now_us) &&
+	       expected_us < (double)left_us(d, now_us);
+}
--- a/pkg/stats/stats.c
+++ b/pkg/stats/stats.c
@@ -23,6 +23,11 @@
 #undef STATS_ROW
 };
 
+const char *stats_counter_name(enum stats_counter counter)
+{
+	return counters[counter].name;
+}
+
 void stats_add(struct stats *s, enum stats_counter counter, uint64_t n)
 {
 	s->counter[counter] += n;
--- a/pkg/stats/stats.h
+++ b/pkg/stats/stats.h
@@ -33,6 +33,22 @@
 	X(PREFILLS, "prefills", "prompts read at a prefill endpoint")          \
 	X(PREFILLS_WASTED, "prefills_lost",                                    \
 	  "prefills that failed or were not taken over")                       \
+	X(WASTED_NO_MEMORY, "wasted_tokens_no_memory",                         \
+	  "prompt tokens read in vain: no decode memory after the prefill")    \
+	X(WASTED_PREFILL, "wasted_tokens_prefill_late",                        \
+	  "prompt tokens read in vain: the prefill took too long")             \
+	X(WASTED_IMPORT, "wasted_tokens_not_taken",                            \
+	  "prompt tokens read in vain: result expired or not taken over")      \
+	X(WASTED_NO_EVENT, "wasted_tokens_silent",                             \
+	  "prompt tokens read in vain: no event within the time-out")          \
+	X(WASTED_ENDPOINT, "wasted_tokens_endpoint",                           \
+	  "prompt tokens read in vain: endpoint lost, or stream evicted")      \
+	X(WASTED_CALLER_GONE, "wasted_tokens_caller_gone",                     \
+	  "prompt tokens read in vain: the caller left")                       \
+	X(WASTED_DEADLINE, "wasted_tokens_deadline",                           \
+	  "prompt tokens read in vain: the deadline passed")                   \
+	X(WASTED_STOPPED, "wasted_tokens_stopped",                             \
+	  "prompt tokens read in vain: this host stopped")                     \
 	X(RESERVATIONS, "holds", "reservations of memory that were given")     \
 	X(RESERVATIONS_DENIED, "holds_denied",                                 \
 	  "reservations that found no room")                                   \
@@ -88,6 +104,8 @@
 	struct stats_hist hist[STATS_HISTOGRAM_COUNT];
 };
 
+/* Returns the name of a counter, without prefix and suffix. */
+const char *stats_counter_name(enum stats_counter counter);
 /* Adds n to a counter. */
 void stats_add(struct stats *s, enum stats_counter counter, uint64_t n);
 /* Adds a duration to a histogram; a negative one counts as 0. */
