store_reader, relay: a host without seniors reads the hosts at once

Ruled out: the crash reports themselves. Change: the pause after the first page is for hosts that leave the rest to seniors; a domain counts as lost only after it was heard of.

--- a/cmd/figbend/gateway/heartbeat.c
+++ b/cmd/figbend/gateway/heartbeat.c
@@ -413,12 +413,6 @@
 		fetch_if_behind(g, h);
 }
 
-/* Returns true if a host of the domain was ever heard of. */
-static bool is_inhabited(const struct relay_domain *d)
-{
-	return d->known || d->digest_known;
-}
-
 /*
  * Marks the other domains of which no host is alive as unreachable. Sets
  * isolated_since_us when that holds for all of them, and clears it when it no
@@ -433,7 +427,7 @@
 	for (i = 0; i < g->relay.n_domains; i++) {
 		const struct relay_domain *d = &g->relay.domain[i];
 
-		if (d == g->relay.own_domain || !is_inhabited(d))
+		if (d == g->relay.own_domain || !d->heard)
 			continue;
 		alive = relay_domain_is_alive(&g->relay, d, now_us);
 		fleet_set_unreachable(&g->fleet, d->name, !alive);
--- a/cmd/figbend/gateway/store_reader.c
+++ b/cmd/figbend/gateway/store_reader.c
@@ -408,8 +408,8 @@
 	if (sr->failures)
 		sr->recovered_us = gateway_now_us(sr->g);
 	if (sr->domain_page) {
-		after_s = START_PAUSE_S;
 		r = apply_domain_page(sr);
+		after_s = relay_has_seniors(&sr->g->relay) ? START_PAUSE_S : 0;
 	} else {
 		r = sr->in_snapshot ? apply_page(sr) : apply_records(sr);
 	}
--- a/pkg/relay/relay.c
+++ b/pkg/relay/relay.c
@@ -311,6 +311,8 @@
 		if (h->domain)
 			h->domain->alive++;
 	}
+	if (h->domain)
+		h->domain->heard = true;
 	TAILQ_INSERT_TAIL(&r->alive, h, entry);
 	set_known(h, true);
 }
@@ -722,6 +724,7 @@
 			continue;
 		domain->digest_known = d->domains.domains_val[i].known;
 		domain->digest_alive = d->domains.domains_val[i].alive;
+		domain->heard = domain->heard || domain->digest_alive;
 	}
 	r->digest_us = now_us;
 	r->digest_waiting = d->waiting;
--- a/pkg/relay/relay.h
+++ b/pkg/relay/relay.h
@@ -58,6 +58,7 @@
 	struct relay_host **host; /* ascending ids; owned */
 	uint32_t n;
 	uint32_t capacity;
+	bool heard; /* a host of it was alive, by a message or a digest */
 	/* Known hosts, and of these the living ones; without this one. */
 	uint32_t known;
 	uint32_t alive;
