h1, sse, gateway: bytes that are no answer end, and are bounded

Change: 128 KiB before the response of an exchange end it; buffered responses are bounded each (response_max_kb) and together (a quarter of memory_mb); comments are passed on but are no progress; short documents of engines are 16 KiB at most.

--- a/cmd/figbend/gateway/plain.c
+++ b/cmd/figbend/gateway/plain.c
@@ -16,8 +16,6 @@
 /* An attempt of an idempotent request times out after this many latency targets
  * of its route. */
 #define ATTEMPT_TIMEOUT_TARGETS 3
-/* Longest response body that is buffered. */
-#define RESPONSE_MAX_BYTES 8388608
 
 static void attempt_failed(struct req *r, enum fleet_outcome outcome,
 			   bool may_have_executed, const char *reason);
@@ -43,7 +41,7 @@
 	r->not_executed = response.not_executed;
 	r->has_signature = response.signature && !response.encoded;
 	h1_buf_finish(&r->fields);
-	h1_buf_finish(&r->body);
+	req_drop_response(r);
 	adapter_write_response_fields(h, &r->fields);
 	return H1_ACCEPT;
 }
@@ -51,14 +49,13 @@
 static void on_body(void *ctx, const void *p, size_t n)
 {
 	struct req *r = ctx;
+	const char *reason = req_buffer_response(r, p, n);
 
-	if (h1_buf_len(&r->body) + n > RESPONSE_MAX_BYTES) {
-		h1_exchange_cancel(&r->exchange);
-		attempt_failed(r, FLEET_FAILED, true,
-			       "response body larger than 8 MiB");
+	if (!reason)
 		return;
-	}
-	h1_buf_append(&r->body, p, n);
+	h1_exchange_cancel(&r->exchange);
+	req_set_step_timer(r, 0);
+	attempt_failed(r, FLEET_FAILED, true, reason);
 }
 
 static void on_end(void *ctx, enum h1_outcome outcome, const char *reason)
@@ -106,6 +103,7 @@
 	fleet_record_outcome(r->endpoint, outcome, now_us - r->sent_us, now_us);
 	if (outcome == FLEET_FAILED && may_have_executed)
 		crash_add_candidate(r);
+	req_drop_response(r);
 	req_exclude_endpoint(r, r->endpoint);
 	req_detach_endpoint(r);
 	if (outcome != FLEET_CONNECT_FAILED)
--- a/cmd/figbend/gateway/pools.c
+++ b/cmd/figbend/gateway/pools.c
@@ -37,6 +37,10 @@
 #define EVENT_TIMEOUT_US 1300000LL
 /* A stream is aborted once more than this much waits for its caller to read. */
 #define UNSENT_MAX_BYTES 262144
+/* Longest response to a reservation or a prefill, a short document. */
+#define STEP_RESPONSE_MAX_BYTES 16384
+/* Longest comments before the first event of a stream. */
+#define COMMENTS_MAX_BYTES 65536
 /* Engines allocate memory in blocks, and a stream may end inside one. */
 #define BLOCK_TOKENS 16
 /* Share of a request's expected output that is counted as used memory. Streams
@@ -58,6 +62,10 @@
 #define EXPECTED_OUTPUT_FACTOR 1.3
 
 static double reserved_output_share(const struct gateway *g);
+static void reservation_denied(struct req *r, enum fleet_outcome outcome,
+			       const char *reason);
+static void prefill_failed(struct req *r, enum fleet_outcome outcome,
+			   const char *reason);
 static void start_reserve(struct req *r);
 static void start_prefill(struct req *r);
 static void start_decode(struct req *r);
@@ -162,15 +170,26 @@
 	}
 	r->status = h->status;
 	r->not_executed = response.not_executed;
-	h1_buf_finish(&r->body);
+	req_drop_response(r);
 	return H1_ACCEPT;
 }
 
+/* Ends the exchange of a step whose response is too large, as failed. */
 static void on_step_body(void *ctx, const void *p, size_t n)
 {
 	struct req *r = ctx;
+	const char *reason = req_buffer_response(r, p, n);
 
-	h1_buf_append(&r->body, p, n);
+	if (!reason && h1_buf_len(&r->body) > STEP_RESPONSE_MAX_BYTES)
+		reason = "response too large";
+	if (!reason)
+		return;
+	h1_exchange_cancel(&r->exchange);
+	req_set_step_timer(r, 0);
+	if (r->step == REQ_PREFILLING)
+		prefill_failed(r, FLEET_FAILED, reason);
+	else
+		reservation_denied(r, FLEET_FAILED, reason);
 }
 
 static void reservation_denied(struct req *r, enum fleet_outcome outcome,
@@ -366,7 +385,7 @@
 	if (outcome == FLEET_FAILED && may_have_executed)
 		crash_add_candidate(r);
 	sse_drop_partial(&r->events);
-	h1_buf_finish(&r->body);
+	req_drop_response(r);
 	if (outcome != FLEET_OVERLOADED)
 		req_exclude_endpoint(r, r->endpoint);
 	if (outcome != FLEET_CONNECT_FAILED)
@@ -409,7 +428,7 @@
 	r->status = h->status;
 	r->not_executed = response.not_executed;
 	r->has_signature = response.signature && !response.encoded;
-	h1_buf_finish(&r->body);
+	req_drop_response(r);
 	if (!r->response_started) {
 		h1_buf_finish(&r->fields);
 		adapter_write_response_fields(h, &r->fields);
@@ -431,8 +450,8 @@
 	r->counted_tokens = need;
 }
 
-/* Passes events on to the caller; the first ones start the response. */
-static void forward_events(struct req *r, const struct h1_buf *out)
+/* Starts the response with the first event, or records the pause before it. */
+static void record_event(struct req *r)
 {
 	int64_t now_us = gateway_now_us(r->g);
 
@@ -449,35 +468,65 @@
 	}
 	r->last_event_us = now_us;
 	count_growth(r);
-	h1_stream_write(r->conn, h1_buf_data(out), h1_buf_len(out));
 	if (r->route->resumable)
 		req_set_step_timer(r, EVENT_TIMEOUT_US);
 }
 
+/*
+ * Passes on what the parser released: complete events, and comments between
+ * them, which are not progress. Comments before the first event are held back
+ * until then. Returns NULL, or why the stream has failed.
+ */
+static const char *forward(struct req *r, const struct h1_buf *out, int events)
+{
+	const char *reason;
+
+	if (events > 0)
+		record_event(r);
+	if (!r->response_started) {
+		reason = req_buffer_response(r, h1_buf_data(out),
+					     h1_buf_len(out));
+		if (!reason && h1_buf_len(&r->body) > COMMENTS_MAX_BYTES)
+			reason = "comments in place of events";
+		return reason;
+	}
+	if (h1_buf_len(&r->body)) {
+		h1_stream_write(r->conn, h1_buf_data(&r->body),
+				h1_buf_len(&r->body));
+		req_drop_response(r);
+	}
+	h1_stream_write(r->conn, h1_buf_data(out), h1_buf_len(out));
+	return NULL;
+}
+
 static void on_decode_body(void *ctx, const void *p, size_t n)
 {
 	struct req *r = ctx;
+	const char *reason = NULL;
 	struct h1_buf out = {0};
-	int count;
-
-	if (!is_stream(r)) {
-		h1_buf_append(&r->body, p, n);
-		return;
+	int count = 0;
+
+	if (is_stream(r)) {
+		count = sse_feed(&r->events, p, n, &out);
+		if (h1_buf_len(&out))
+			reason = forward(r, &out, count);
+		h1_buf_finish(&out);
+		if (h1_unsent_bytes(r->conn) > UNSENT_MAX_BYTES) {
+			req_fail(r, 502,
+				 "caller reads too slowly: over 256 KiB "
+				 "unsent");
+			return;
+		}
+	} else {
+		reason = req_buffer_response(r, p, n);
 	}
-	count = sse_feed(&r->events, p, n, &out);
-	if (h1_buf_len(&out))
-		forward_events(r, &out);
-	h1_buf_finish(&out);
-	if (h1_unsent_bytes(r->conn) > UNSENT_MAX_BYTES) {
-		req_fail(r, 502,
-			 "caller reads too slowly: over 256 KiB unsent");
+	if (count < 0)
+		reason = "event id out of order, or event too large";
+	if (!reason)
 		return;
-	}
-	if (count < 0) {
-		h1_exchange_cancel(&r->exchange);
-		decode_failed(r, FLEET_FAILED, true,
-			      "event id out of order, or event too large");
-	}
+	h1_exchange_cancel(&r->exchange);
+	req_set_step_timer(r, 0);
+	decode_failed(r, FLEET_FAILED, true, reason);
 }
 
 static void stream_ended(struct req *r)
--- a/cmd/figbend/gateway/req.c
+++ b/cmd/figbend/gateway/req.c
@@ -10,6 +10,8 @@
 /* An endpoint may respond right at the deadline; its response can arrive this
  * much later. */
 #define DEADLINE_MARGIN_US 60000LL
+/* Responses that are being received may use a quarter of memory_mb. */
+#define RESPONSE_MEMORY_DIVISOR 4
 /* Longest deadline; also the default. */
 #define DEADLINE_MAX_US 60000000LL
 /* Retry-After of a refused request. Whether a failing plain service works again
@@ -88,7 +90,7 @@
 	TAILQ_REMOVE(&g->reqs, r, entry);
 	g->n_reqs--;
 	h1_buf_finish(&r->fields);
-	h1_buf_finish(&r->body);
+	req_drop_response(r);
 	sse_finish(&r->events);
 	directory_unref(r->directory);
 	free(r);
@@ -124,6 +126,27 @@
 		(long long)r->directory->version);
 }
 
+const char *req_buffer_response(struct req *r, const void *p, size_t n)
+{
+	struct gateway *g = r->g;
+
+	if (h1_buf_len(&r->body) + n > g->settings->response_max_kb * 1024ULL)
+		return "response body larger than response_max_kb";
+	if (g->response_bytes + n > (uint64_t)g->settings->memory_mb * 1048576 /
+					    RESPONSE_MEMORY_DIVISOR)
+		return "too many large responses at once";
+	if (h1_buf_append(&r->body, p, n) < 0)
+		return "out of memory";
+	g->response_bytes += n;
+	return NULL;
+}
+
+void req_drop_response(struct req *r)
+{
+	r->g->response_bytes -= h1_buf_len(&r->body);
+	h1_buf_finish(&r->body);
+}
+
 void req_waste_prompt(struct req *r, enum stats_counter cause)
 {
 	if (!r->prompt_processed)
--- a/cmd/figbend/gateway/req.h
+++ b/cmd/figbend/gateway/req.h
@@ -124,6 +124,13 @@
  * attempt, and logs the cause at the end of the request.
  */
 void req_waste_prompt(struct req *r, enum stats_counter cause);
+/*
+ * Buffers a part of the response. Returns NULL, or why the response cannot be
+ * buffered: it, or the responses of all requests together, are too large.
+ */
+const char *req_buffer_response(struct req *r, const void *p, size_t n);
+/* Drops what is buffered of the response. */
+void req_drop_response(struct req *r);
 /* Queues the request until an endpoint may have capacity. */
 void req_enqueue(struct req *r);
 /* Starts the next step; no exchange may be in progress. May free r. */
--- a/cmd/figbend/gateway/store_reader.c
+++ b/cmd/figbend/gateway/store_reader.c
@@ -32,6 +32,8 @@
 /* Time-out of a read after its wait, and between parts of the response. A slow
  * store responds within 0.4 s. */
 #define READ_TIMEOUT_S 0.8
+/* The store sends 1 MiB of records at most in one response. */
+#define RESPONSE_MAX_BYTES 8388608
 /* Pause after new records of endpoints. A rollout changes many entries, and
  * each would end a poll of every reader. The pause is a tenth of the time
  * within which hosts must know that an endpoint is leaving. */
@@ -442,7 +444,12 @@
 {
 	struct store_reader *sr = ctx;
 
-	h1_buf_append(&sr->body, p, n);
+	if (h1_buf_len(&sr->body) + n > RESPONSE_MAX_BYTES ||
+	    h1_buf_append(&sr->body, p, n) < 0) {
+		h1_exchange_cancel(&sr->exchange);
+		read_failed(sr, "response too large");
+		return;
+	}
 	/* A large response may take longer over a slow link. */
 	set_timer(sr, READ_TIMEOUT_S);
 }
--- a/pkg/h1/client.c
+++ b/pkg/h1/client.c
@@ -11,6 +11,9 @@
 
 #define READ_BYTES 16384
 #define RESPONSE_HEAD_MAX_BYTES 65536
+/* Interim responses and discarded ones before the response of an exchange. A
+ * late copy of a response is discarded, so that this holds a few of them. */
+#define UNRELATED_MAX_BYTES 131072
 #define SWEEP_INTERVAL_S 0.5
 /*
  * An idle connection is given up this long before the Keep-Alive timeout of the
@@ -259,6 +262,12 @@
 		conn_free(c);
 		return;
 	}
+	if (!c->have_head || c->discarding)
+		c->unrelated_bytes += (uint64_t)n;
+	if (c->unrelated_bytes > UNRELATED_MAX_BYTES) {
+		conn_fail(c, "too many bytes before the response");
+		return;
+	}
 	if (h1_buf_append(&c->in, p, (size_t)n) < 0) {
 		conn_fail(c, "out of memory for response");
 		return;
@@ -409,6 +418,7 @@
 	x->conn = c;
 	c->exchange = x;
 	c->sent_bytes = 0;
+	c->unrelated_bytes = 0;
 	c->discarding = false;
 	update_events(c);
 	/* Sends from the loop, as a failed send calls the end handler. */
--- a/pkg/h1/h1.h
+++ b/pkg/h1/h1.h
@@ -361,6 +361,8 @@
 	struct h1_buf in;
 	struct h1_buf out;
 	uint64_t sent_bytes; /* of the current request */
+	/* Received since the request was sent that is not its response. */
+	uint64_t unrelated_bytes;
 	struct h1_head head;
 	bool have_head;	   /* head is that of the current response */
 	bool discarding;   /* the response belongs to an earlier request */
--- a/pkg/pool_settings/pool_settings.c
+++ b/pkg/pool_settings/pool_settings.c
@@ -9,6 +9,9 @@
 #include "h1.h"
 #include "settings.h"
 
+/* Fits the smallest hosts, which have 88 MB. */
+#define RESPONSE_MAX_KB_DEFAULT 4096
+
 enum row_type {
 	ROW_NAME,
 	ROW_ADDR,
@@ -113,6 +116,8 @@
 	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++)
 		read_row(&root, &rows[i], s);
 	read_secret(&root, s);
+	s->response_max_kb = (uint32_t)jread_double_or(
+		&root, "response_max_kb", RESPONSE_MAX_KB_DEFAULT, 16, 1e6);
 	json_object_put(root.value);
 	return errors->n ? -EINVAL : 0;
 }
--- a/pkg/pool_settings/pool_settings.h
+++ b/pkg/pool_settings/pool_settings.h
@@ -10,8 +10,8 @@
 /*
  * Settings of a host that serves a platform's pools (figbend --pools). The file
  * is JSON with comments; deploy/settings.jsonc is its template. Members of the
- * struct have the names of their keys. All keys are required. Unknown keys are
- * ignored, as the platform may add some. Addresses are IP:PORT.
+ * struct have the names of their keys, which are required unless they are marked
+ * as optional. Unknown keys are ignored, as the platform may add some. Addresses are IP:PORT.
  */
 
 #define POOL_SETTINGS_NAME_BYTES 64
@@ -36,6 +36,8 @@
 	double retry_slack;    /* further retries of all hosts per window */
 	/* Allowed excess over an account's limit, in the unit of the limit. */
 	double limit_slack;
+	/* Longest response body that is buffered, in KiB; optional. */
+	uint32_t response_max_kb;
 };
 
 /*
--- a/pkg/sse/sse.c
+++ b/pkg/sse/sse.c
@@ -1,6 +1,7 @@
 #include "sse.h"
 
 #include <errno.h>
+#include <stdbool.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -61,10 +62,26 @@
 	return -1;
 }
 
+/* Returns true if the block has a line that is not a comment. */
+static bool is_event(const char *s, size_t n)
+{
+	const char *end = s + n, *next;
+
+	for (; s < end; s = next + 1) {
+		if (*s != ':' && *s != '\n' && *s != '\r')
+			return true;
+		next = memchr(s, '\n', (size_t)(end - s));
+		if (!next)
+			break;
+	}
+	return false;
+}
+
 int sse_feed(struct sse_parser *p, const void *data, size_t n,
 	     struct h1_buf *out)
 {
 	int count = 0;
+	bool counts;
 	size_t len;
 	int64_t id;
 
@@ -81,11 +98,12 @@
 			return -EBADMSG;
 		if (id >= 0)
 			p->last_id = id;
+		counts = is_event(event, len);
 		if (h1_buf_append(out, event, len) < 0)
 			return -ENOMEM;
 		h1_buf_consume(&p->partial, len);
-		p->n_events++;
-		count++;
+		p->n_events += counts;
+		count += counts;
 	}
 	return h1_buf_len(&p->partial) > SSE_PARTIAL_MAX_BYTES ? -EMSGSIZE
 							       : count;
--- a/pkg/sse/sse.h
+++ b/pkg/sse/sse.h
@@ -12,7 +12,7 @@
  * breaks off can be resumed at another endpoint after last_id.
  */
 
-#define SSE_PARTIAL_MAX_BYTES 1048576
+#define SSE_PARTIAL_MAX_BYTES 262144
 
 struct sse_parser {
 	struct h1_buf partial; /* bytes of the event not yet complete */
@@ -26,8 +26,8 @@
 /* Discards the incomplete event, so that p can parse a resumed stream. */
 void sse_drop_partial(struct sse_parser *p);
 /*
- * Parses n bytes of data and appends the complete events to out, unchanged.
- * Returns their number, or -ENOMEM, -EMSGSIZE if an incomplete event exceeds
+ * Parses n bytes of data and appends the complete events to out, unchanged, and
+ * comments that stand apart. Returns the number of events, or -ENOMEM, -EMSGSIZE if an incomplete event exceeds
  * SSE_PARTIAL_MAX_BYTES, or -EBADMSG if an event's id is not greater than
  * last_id. On an error, out may hold the events before the faulty one.
  */
--- a/pkg/sse/test/sse_test.cc
+++ b/pkg/sse/test/sse_test.cc
@@ -47,6 +47,18 @@
 	}
 }
 
+TEST(Sse, PassesCommentsOnWithoutCountingThem)
+{
+	Parser p;
+
+	EXPECT_EQ(p.feed(": k\n\n:\r\n\r\n"), 0);
+	EXPECT_EQ(p.text(), ": k\n\n:\r\n\r\n");
+	EXPECT_EQ(p.state.n_events, 0u);
+	EXPECT_EQ(p.feed(": k\nid: 1\ndata: a\n\n: k\n\n"), 1);
+	EXPECT_EQ(p.state.n_events, 1u);
+	EXPECT_EQ(p.state.last_id, 1);
+}
+
 TEST(Sse, WithholdsAnIncompleteEvent)
 {
 	Parser p;
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -127,6 +127,61 @@
         assert r.status == 200 and r.body == f"answer to {rid}".encode()
 
 
+async def test_ends_a_head_without_end_at_once(d):
+    await start_small(d)
+    for fault in ("endless_head", "endless_interim"):
+        for route, status in (("idempotent", 200), ("non_idempotent", 502)):
+            await asyncio.sleep(0.6)  # the longest first ejection
+            for e in plain_endpoints(d):
+                e.faults = [fault] if status == 502 else []
+            plain_endpoints(d)[0].faults = [fault]
+            start = time.monotonic()
+            rid, r = await d.request(route)
+            assert time.monotonic() - start < 1, fault
+            assert r.status in (200, status), (fault, route, r.status)
+            for e in plain_endpoints(d):
+                e.faults = []
+
+
+async def test_bounds_the_memory_of_bodies_without_end(d):
+    """Twenty at once are bounded together."""
+    await start_small(d)
+    start_kb = memory_kb(d.hosts[0], "VmRSS")
+    for e in plain_endpoints(d):
+        e.faults = ["endless_body"] * 100
+    done = await asyncio.gather(*(
+        d.request("non_idempotent", deadline_ms=2000) for _ in range(20)))
+    assert {r.status for _, r in done} <= {502, 503, 504}, \
+        [r.status for _, r in done]
+    peak_kb = memory_kb(d.hosts[0], "VmHWM") - start_kb
+    # A quarter of the host's memory is for responses; the sanitizer keeps as
+    # much again of what was freed.
+    limit_kb = 110 * 1024 / 4 + 8192
+    if is_sanitized(d.hosts[0].binary):
+        limit_kb *= 2
+    assert peak_kb < limit_kb, peak_kb
+    for e in plain_endpoints(d):
+        e.faults = []
+    await asyncio.sleep(4.5)  # the longest ejection
+    assert (await d.request("idempotent"))[1].status == 200
+
+
+async def test_resumes_a_stream_that_sends_only_comments(d):
+    """Comments are not progress, however many arrive."""
+    await start_small(d)
+    for e in d.endpoints:
+        if e.stage == "decode":
+            e.faults = ["comments"]
+    start = time.monotonic()
+    rid, r = await d.request("resumable", tokens=(3000, 160))
+    assert r.status == 200 and r.complete, (r.status, r.body)
+    assert r.body.replace(b": k\n\n", b"") == expected_events(rid, 20)
+    assert time.monotonic() - start < 3
+    executed = [e for e in d.endpoints
+                if e.stage == "decode" and rid in e.executed]
+    assert len(executed) == 2, "not resumed at the other endpoint"
+
+
 async def test_resumes_a_stream_after_its_last_complete_event(d):
     await start_small(d)
     for e in d.endpoints:
--- a/test/pools/standins.py
+++ b/test/pools/standins.py
@@ -196,8 +196,12 @@
     "unsigned"        response without Instance-Signature
     "wrong_id"        a response with another Attempt-Id comes first
     "extra_response"  a response without a request follows
+    "endless_head"    a head without end
+    "endless_interim" interim responses without end
+    "endless_body"    a body without end
     Streams only:
     "truncate_event"  closes within the fourth event, unless resumed
+    "comments"        only comments after the third event, unless resumed
 
     A body that contains "poison" crashes the endpoint, except at the prefill
     stage.
@@ -341,6 +345,21 @@
         await self.start()
         self.store.put_json("keyed.servers", self.name, self.entry())
 
+    # What comes first, and what follows until the connection closes.
+    ENDLESS = {
+        "endless_head": (b"HTTP/1.1 200 OK\r\n", b"X-More: " + b"x" * 4000 +
+                         b"\r\n"),
+        "endless_interim": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 100),
+        "endless_body": (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                         b"\r\n", b"8000\r\n" + b"x" * 32768 + b"\r\n"),
+    }
+
+    async def send_endlessly(self, writer, first, more):
+        writer.write(first)
+        while not writer.transport.is_closing():
+            writer.write(more)
+            await writer.drain()
+
     async def respond(self, writer, rid, identity, fault):
         self.executed.append(rid)
         self.running[rid] = 0
@@ -349,6 +368,9 @@
         finally:
             self.running.pop(rid, None)
         body = f"answer to {rid}".encode()
+        if fault in self.ENDLESS:
+            await self.send_endlessly(writer, *self.ENDLESS[fault])
+            return False
         if fault == "truncate":
             writer.write(http_response(200, body, identity)[:-3])
             return False
@@ -384,6 +406,11 @@
                 await asyncio.sleep(self.event_interval_s)
                 if disconnected.done() or writer.transport.is_closing():
                     return False
+                while fault == "comments" and not last_event_id and i > 3:
+                    writer.write(b"5\r\n: k\n\n\r\n")
+                    await asyncio.sleep(0.3)
+                    if disconnected.done() or writer.transport.is_closing():
+                        return False
                 event = f"id: {i}\ndata: {rid} {i}\n\n".encode()
                 if fault == "truncate_event" and not last_event_id and \
                         i == 4:
