--- a/cmd/figbend/gateway/heartbeat.c
+++ b/cmd/figbend/gateway/heartbeat.c
@@ -17,9 +17,9 @@
 /* Part of limit_slack that is added to every burst, so that consumption which
  * is not yet reported to all hosts causes no refusal within the limit. */
 #define BURST_SLACK_PART 0.4
-/* What is known through delegates is about as old as reports in a mesh with
+/* What is known through delegates is up to as old as reports in a mesh with
  * this interval. */
-#define DELEGATES_INTERVAL_S 0.4
+#define DELEGATES_INTERVAL_S 0.6
 #define MESH_INTERVAL_PER_HOST_S 0.01
 #define FETCH_TIMEOUT_MS 800
 /* Records of operators that are larger are read from the store, whose link is
