fleet, ratelimit: hundreds of hosts share a cold engine's rate and the retries

Cause: a share of less than one request a second was rounded up for each host: 295 a second for a rate of 10; prefills did not count, nor as probes. Change: such a share is drawn at random, with 0.6 of the rate; prefills count; the budget holds its share of the slack less the part that refills it.

--- a/cmd/figbend/gateway/plain.c
+++ b/cmd/figbend/gateway/plain.c
@@ -158,7 +158,7 @@
 	r->endpoint = fleet_ref(e);
 	r->counted = true;
 	r->step = REQ_SENT;
-	fleet_request_start(e, 0, 0, now_us);
+	fleet_request_start(e, 0, 0);
 	if (req_send(r, e, CALL_FULL, &handlers) < 0) {
 		attempt_failed(r, FLEET_CONNECT_FAILED, false,
 			       "cannot open a socket");
--- a/cmd/figbend/gateway/pools.c
+++ b/cmd/figbend/gateway/pools.c
@@ -353,7 +353,7 @@
 	r->prefill_endpoint = fleet_ref(e);
 	r->prefill_counted = true;
 	r->prefill_sent = true;
-	e->prefill_tokens += r->call.prompt.prompt_tokens;
+	fleet_prefill_start(e, r->call.prompt.prompt_tokens);
 	if (req_send(r, e, CALL_PREFILL, &prefill_handlers) < 0)
 		prefill_failed(r, FLEET_CONNECT_FAILED, "cannot open a socket");
 	else
@@ -688,7 +688,7 @@
 	r->endpoint = fleet_ref(e);
 	r->counted_tokens = query.kv_tokens;
 	r->counted = true;
-	fleet_request_start(e, query.kv_tokens, 0, now_us);
+	fleet_request_start(e, query.kv_tokens, 0);
 	if (r->service->engine.reservation_max_ms)
 		start_reserve(r);
 	else
--- a/pkg/fleet/choose.c
+++ b/pkg/fleet/choose.c
@@ -1,5 +1,6 @@
 #include "fleet.h"
 
+#include <math.h>
 #include <string.h>
 
 /*
@@ -23,6 +24,11 @@
 /* Prompt tokens in flight at which a prefill endpoint counts as fully loaded. */
 #define PREFILL_FULL_TOKENS 10000.0
 
+#define COLD_WINDOW_US 1000000LL
+/* Part of the rate that is used if hosts draw their requests at random: then a
+ * window may have more of them than the average. */
+#define COLD_SPREAD 0.6
+
 /* Returns a number in [0, 1) from a linear congruential generator. */
 static double random_fraction(struct fleet *f)
 {
@@ -49,23 +55,35 @@
 }
 
 /*
- * Returns true if the endpoint is warming up and this host has used its share of
- * the rate limit in the present one-second window. Each host may send at least
- * one request a second.
+ * Returns how many requests this host may send to an endpoint in a window, so
+ * that all hosts together stay within rate_per_s. A share of less than one
+ * request is one request in some windows.
  */
-static bool cold_limit_reached(const struct fleet *f,
-			       const struct fleet_query *q,
-			       const struct fleet_endpoint *e, int64_t now_us)
+static uint32_t draw_allowance(struct fleet *f, double rate_per_s)
 {
-	double share;
+	double share = rate_per_s / (f->hosts ? f->hosts : 1);
+	double whole = floor(share);
+
+	if (share < 1)
+		share *= COLD_SPREAD;
+	return (uint32_t)whole + (random_fraction(f) < share - whole);
+}
 
+/*
+ * Returns true if the endpoint is warming up and this host has used its share of
+ * the rate limit in the present one-second window.
+ */
+static bool cold_limit_reached(struct fleet *f, const struct fleet_query *q,
+			       struct fleet_endpoint *e, int64_t now_us)
+{
 	if (now_us >= e->cold_until_us || q->cold_requests_per_s <= 0)
 		return false;
-	share = q->cold_requests_per_s / (f->hosts ? f->hosts : 1);
-	if (share < 1)
-		share = 1;
-	return now_us - e->cold_window_us < 1000000 &&
-	       e->cold_requests >= share;
+	if (now_us - e->cold_window_us >= COLD_WINDOW_US) {
+		e->cold_window_us = now_us;
+		e->cold_requests = 0;
+		e->cold_allowance = draw_allowance(f, q->cold_requests_per_s);
+	}
+	return e->cold_requests >= e->cold_allowance;
 }
 
 /*
@@ -111,9 +129,9 @@
 }
 
 /* Returns FLEET_FOUND if the endpoint can accept a request now, else why not. */
-static enum fleet_result check_availability(const struct fleet *f,
+static enum fleet_result check_availability(struct fleet *f,
 					    const struct fleet_query *q,
-					    const struct fleet_endpoint *e,
+					    struct fleet_endpoint *e,
 					    int64_t now_us)
 {
 	if (now_us < e->ejected_until_us || (e->ejected_until_us && e->probes))
--- a/pkg/fleet/fleet.c
+++ b/pkg/fleet/fleet.c
@@ -177,19 +177,26 @@
 	       !domains_contain(&f->withdrawn, e->entry.domain);
 }
 
+static void count_sent(struct fleet_endpoint *e)
+{
+	e->cold_requests++;
+	if (e->ejected_until_us)
+		e->probes++;
+}
+
 void fleet_request_start(struct fleet_endpoint *e, uint32_t kv_tokens,
-			 uint32_t prefill_tokens, int64_t now_us)
+			 uint32_t prefill_tokens)
 {
 	e->running++;
 	e->kv_tokens += kv_tokens;
 	e->prefill_tokens += prefill_tokens;
-	if (now_us - e->cold_window_us >= 1000000) {
-		e->cold_window_us = now_us;
-		e->cold_requests = 0;
-	}
-	e->cold_requests++;
-	if (e->ejected_until_us)
-		e->probes++;
+	count_sent(e);
+}
+
+void fleet_prefill_start(struct fleet_endpoint *e, uint32_t prefill_tokens)
+{
+	e->prefill_tokens += prefill_tokens;
+	count_sent(e);
 }
 
 void fleet_prefill_end(struct fleet_endpoint *e, uint32_t prefill_tokens)
@@ -197,6 +204,8 @@
 	e->prefill_tokens -= prefill_tokens < e->prefill_tokens
 				     ? prefill_tokens
 				     : e->prefill_tokens;
+	if (e->probes)
+		e->probes--;
 }
 
 void fleet_request_grow(struct fleet_endpoint *e, uint32_t kv_tokens)
--- a/pkg/fleet/fleet.h
+++ b/pkg/fleet/fleet.h
@@ -85,9 +85,11 @@
 	double failure_rate;   /* exponential average, 0 to 1 */
 	double latency_us;     /* exponential average, 0 if unknown */
 	int64_t cold_until_us; /* end of the warm-up */
-	/* Start of the present one-second window and requests sent in it. */
+	/* Start of the present one-second window, requests sent in it, and how
+	 * many this host may send. */
 	int64_t cold_window_us;
 	uint32_t cold_requests;
+	uint32_t cold_allowance;
 	uint32_t probes; /* probe requests in flight */
 };
 
@@ -204,7 +206,9 @@
  * expected to use and the prompt tokens to be prefilled.
  */
 void fleet_request_start(struct fleet_endpoint *e, uint32_t kv_tokens,
-			 uint32_t prefill_tokens, int64_t now_us);
+			 uint32_t prefill_tokens);
+/* Counts a prefill that is sent to the endpoint. */
+void fleet_prefill_start(struct fleet_endpoint *e, uint32_t prefill_tokens);
 /* Ends a prefill that was counted, whether it succeeded or not. */
 void fleet_prefill_end(struct fleet_endpoint *e, uint32_t prefill_tokens);
 /* Counts KV memory that a running request uses beyond the expected. */
--- a/pkg/fleet/test/fleet_test.cc
+++ b/pkg/fleet/test/fleet_test.cc
@@ -1,7 +1,9 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
 #include <string>
+#include <vector>
 
 extern "C" {
 #include "fleet.h"
@@ -64,7 +66,7 @@
 	struct fleet_endpoint *a = upsert("a", "d1"), *b = upsert("b", "d1");
 
 	for (int i = 0; i < 3; i++)
-		fleet_request_start(a, 0, 0, now_us);
+		fleet_request_start(a, 0, 0);
 	EXPECT_EQ(choose(), b);
 	b->peer_running = 6;
 	EXPECT_EQ(choose(), a) << "other hosts run requests on b";
@@ -95,12 +97,12 @@
 	EXPECT_EQ(result, FLEET_ALL_EJECTED);
 	now_us += 600 * MS;
 	ASSERT_EQ(choose(), a);
-	fleet_request_start(a, 0, 0, now_us);
+	fleet_request_start(a, 0, 0);
 	EXPECT_EQ(choose(), nullptr) << "one probe at a time";
 	fleet_request_end(a, 0);
 	fleet_record_outcome(a, FLEET_SUCCESS, 10 * MS, now_us);
 	EXPECT_EQ(choose(), a);
-	fleet_request_start(a, 0, 0, now_us);
+	fleet_request_start(a, 0, 0);
 	EXPECT_EQ(choose(), a);
 }
 
@@ -127,7 +129,7 @@
 	struct fleet_endpoint *a = upsert("a", "d1", FLEET_DECODE);
 	enum fleet_result result;
 
-	fleet_request_start(a, 600, 0, now_us);
+	fleet_request_start(a, 600, 0);
 	a->peer_kv_tokens = 200;
 	EXPECT_EQ(fleet_free_tokens(a, 1000), 200);
 	EXPECT_EQ(choose(FLEET_DECODE, 200), a);
@@ -185,7 +187,7 @@
 	f.hosts = 4;
 	upsert("a", "d1", FLEET_PLAIN, false, 1, 3000);
 	while (struct fleet_endpoint *e = choose()) {
-		fleet_request_start(e, 0, 0, now_us);
+		fleet_request_start(e, 0, 0);
 		n++;
 	}
 	EXPECT_EQ(n, 4) << "16 requests a second shared by 4 hosts";
@@ -194,7 +196,7 @@
 	now_us += 3000 * MS;
 	for (int i = 0; i < 10; i++) {
 		ASSERT_NE(choose(), nullptr) << "the warm-up has ended";
-		fleet_request_start(choose(), 0, 0, now_us);
+		fleet_request_start(choose(), 0, 0);
 	}
 }
 
@@ -213,10 +215,121 @@
 {
 	struct fleet_endpoint *a = upsert("a", "d1", FLEET_DECODE);
 
-	fleet_request_start(a, 600, 0, now_us);
+	fleet_request_start(a, 600, 0);
 	EXPECT_EQ(choose(FLEET_DECODE, 300), a);
 	fleet_request_grow(a, 200);
 	EXPECT_EQ(choose(FLEET_DECODE, 300), nullptr);
 	fleet_request_end(a, 800);
 	EXPECT_EQ(fleet_free_tokens(a, 1000), 1000);
 }
+
+/*
+ * An endpoint that warms up, among 295 hosts that all have work for it: together
+ * they stay within its rate of 10 requests per second (times 1.5, and 5), and
+ * use most of it. Guards against a share of less than one request per second
+ * that was rounded up for each host, and against prefills that did not count.
+ */
+static void simulate_cold_endpoint(enum fleet_stage stage)
+{
+	static constexpr int HOSTS = 295, S = 20;
+	static constexpr double RATE = 10;
+	std::vector<struct fleet> host(HOSTS);
+	std::vector<int> sent(S * 100);
+	int most = 0, all = 0;
+
+	for (int i = 0; i < HOSTS; i++) {
+		struct fleet_entry e = {};
+
+		fleet_init(&host[i], "d1", (uint64_t)i * 7919);
+		host[i].hosts = HOSTS;
+		snprintf(e.id, sizeof(e.id), "cold");
+		snprintf(e.service, sizeof(e.service), "s");
+		e.stage = stage;
+		e.slots = 6;
+		e.cold_remaining_ms = 60000;
+		fleet_upsert(&host[i], &e, 1, 1);
+	}
+	for (int t = 0; t < S * 100; t++) {
+		for (int i = 0; i < HOSTS; i++) {
+			struct fleet_query q = {};
+			enum fleet_result result;
+			struct fleet_endpoint *e;
+			int64_t now_us = 2000000 + t * 10 * MS;
+
+			if ((t + i) % 25)
+				continue;
+			q.service = "s";
+			q.stage = stage;
+			q.cold_requests_per_s = RATE;
+			e = fleet_choose(&host[i], &q, now_us, &result);
+			if (!e)
+				continue;
+			if (stage == FLEET_PREFILL) {
+				fleet_prefill_start(e, 3000);
+				fleet_prefill_end(e, 3000);
+			} else {
+				fleet_request_start(e, 0, 0);
+				fleet_request_end(e, 0);
+			}
+			sent[t]++;
+		}
+	}
+	for (int t = 0; t < S * 100; t++) {
+		int window = 0;
+
+		all += sent[t];
+		for (int k = t; k < std::min(S * 100, t + 100); k++)
+			window += sent[k];
+		most = std::max(most, window);
+	}
+	printf("most in a second %d, on average %.1f\n", most, (double)all / S);
+	EXPECT_LE(most, RATE * 1.5 + 5);
+	EXPECT_GE((double)all / S, RATE / 2);
+	for (auto &f : host)
+		fleet_finish(&f);
+}
+
+TEST_F(Fleet, HundredsOfHostsShareTheRateOfAColdEndpoint)
+{
+	simulate_cold_endpoint(FLEET_PLAIN);
+}
+
+TEST_F(Fleet, PrefillsCountAgainstTheRateOfAColdEndpoint)
+{
+	simulate_cold_endpoint(FLEET_PREFILL);
+}
+
+TEST_F(Fleet, APrefillIsTheProbeOfAnEjectedEndpoint)
+{
+	struct fleet_endpoint *e = upsert("a", "d1", FLEET_PREFILL);
+
+	for (int i = 0; i < 3; i++)
+		fleet_record_outcome(e, FLEET_FAILED, MS, now_us);
+	EXPECT_EQ(choose(FLEET_PREFILL), nullptr);
+	now_us += 600 * MS;
+	ASSERT_EQ(choose(FLEET_PREFILL), e);
+	fleet_prefill_start(e, 3000);
+	EXPECT_EQ(choose(FLEET_PREFILL), nullptr) << "one probe at a time";
+	fleet_prefill_end(e, 3000);
+	EXPECT_EQ(choose(FLEET_PREFILL), e);
+}
+
+/* A full endpoint is asked less often with each refusal, until one fits. */
+TEST_F(Fleet, BacksOffFromAFullEndpoint)
+{
+	struct fleet_endpoint *e = upsert("a", "d1", FLEET_DECODE);
+	int asked = 0;
+
+	for (int i = 0; i < 200; i++, now_us += 5 * MS)
+		if (choose(FLEET_DECODE)) {
+			fleet_record_outcome(e, FLEET_OVERLOADED, 0, now_us);
+			asked++;
+		}
+	EXPECT_LE(asked, 8) << "in a second";
+	now_us += 300 * MS;
+	fleet_record_capacity(e);
+	fleet_record_outcome(e, FLEET_OVERLOADED, 0, now_us);
+	EXPECT_EQ(choose(FLEET_DECODE), nullptr);
+	now_us += 31 * MS;
+	EXPECT_EQ(choose(FLEET_DECODE), e);
+}
--- a/pkg/ratelimit/retry_budget.c
+++ b/pkg/ratelimit/retry_budget.c
@@ -28,14 +28,17 @@
 }
 
 /*
- * Brings a budget up to now. It begins with this host's part of the slack, gets
- * that part again over each window, and holds at most two parts and one retry.
+ * Brings a budget up to now. It begins with this host's part of the slack and
+ * gets that part again over each window. It holds what is left of its share of
+ * the slack beside that part, so that all hosts together stay within the slack in
+ * any window, but at least one retry: the slack is not stranded in fractions.
  */
 static void refill(const struct ratelimit_retry_budgets *b,
 		   struct ratelimit_retry_budget *row, uint32_t hosts,
 		   int64_t now_us)
 {
-	double part = b->slack * SLACK_PART / (hosts ? hosts : 1);
+	double share = b->slack / (hosts ? hosts : 1);
+	double part = share * SLACK_PART, most = share - part;
 
 	if (!row->initialized) {
 		row->initialized = true;
@@ -45,8 +48,10 @@
 			       1e6 / b->window_s;
 	}
 	row->refilled_us = now_us;
-	if (row->tokens > 2 * part + 1)
-		row->tokens = 2 * part + 1;
+	if (most < 1)
+		most = 1;
+	if (row->tokens > most)
+		row->tokens = most;
 }
 
 void ratelimit_retry_deposit(struct ratelimit_retry_budgets *b,
--- a/pkg/ratelimit/test/ratelimit_test.cc
+++ b/pkg/ratelimit/test/ratelimit_test.cc
@@ -118,3 +118,55 @@
 	EXPECT_LE(most, 0.2 * 80 + 56);
 	EXPECT_GE(most, 20) << "retries are possible";
 }
+
+/*
+ * Guards against a budget that was saved up while nothing failed: with the part
+ * of the window it exceeded the slack, 64 retries for a bound of 56.
+ */
+TEST(RetryBudget, HoldsAfterAQuietTimeWithAnyNumberOfHosts)
+{
+	struct Deployment {
+		uint32_t hosts;
+		double slack;
+		double requests_per_s; /* of all hosts */
+	};
+
+	for (Deployment d : {Deployment{8, 56, 10}, Deployment{65, 170, 35},
+			     Deployment{295, 630, 120}}) {
+		std::vector<struct ratelimit_retry_budgets> b(d.hosts);
+		std::vector<double> next_s(d.hosts);
+		std::mt19937_64 random(d.hosts);
+		std::exponential_distribution<> gap(d.requests_per_s / d.hosts);
+		int retries = 0, requests = 0, first = 0;
+
+		for (auto &x : b) {
+			x = {};
+			x.ratio = 0.2;
+			x.slack = d.slack;
+			x.window_s = 10;
+		}
+		for (int64_t now_us = 0; now_us < 70 * S; now_us += S / 100) {
+			bool faults = now_us >= 60 * S;
+
+			for (uint32_t i = 0; i < d.hosts; i++) {
+				for (; next_s[i] * S < (double)now_us;
+				     next_s[i] += gap(random)) {
+					ratelimit_retry_deposit(
+						&b[i], "s", d.hosts, now_us);
+					requests += faults;
+				}
+				while (faults &&
+				       ratelimit_retry_consume(
+					       &b[i], "s", d.hosts, now_us)) {
+					retries++;
+					first += now_us < 60 * S + S / 10;
+				}
+			}
+		}
+		printf("%u hosts: %d retries in a window, %d at once; %.0f "
+		       "allowed\n",
+		       d.hosts, retries, first, 0.2 * requests + d.slack);
+		EXPECT_LE(retries, 0.2 * requests + d.slack);
+		EXPECT_GE(first, (int)d.hosts) << "each host has one at hand";
+	}
+}
