--- a/cmd/figbend/gateway/gateway.h
+++ b/cmd/figbend/gateway/gateway.h
@@ -118,6 +118,7 @@
 	struct relay relay;
 	ev_timer heartbeat_timer;
 	bool loads_changed; /* since heartbeat_update_loads() */
+	enum relay_mode logged_mode;
 	struct ratelimit ratelimit;
 	/* When the last other domain became unreachable; 0 if one is reachable
 	 * or none is known. */
--- a/cmd/figbend/gateway/heartbeat.c
+++ b/cmd/figbend/gateway/heartbeat.c
@@ -477,20 +477,21 @@
 	return s > RELAY_REPORT_US / 1e6 ? s : RELAY_REPORT_US / 1e6;
 }
 
-static void log_mode(const struct gateway *g, enum relay_mode before)
+static void log_mode(struct gateway *g)
 {
 	static const char *const names[] = {[RELAY_MESH] = "mesh",
 					    [RELAY_MEMBER] = "member",
 					    [RELAY_DELEGATE] = "delegate"};
 	int64_t now_us = gateway_now_us(g);
 
-	if (g->relay.mode != before)
-		logline(LOG_NOTICE, "relay",
-			"mode=%s before=%s hosts=%u alive=%u age_ms=%lld",
-			names[g->relay.mode], names[before],
-			relay_known(&g->relay, now_us),
-			relay_living(&g->relay, now_us),
-			(long long)relay_age_us(&g->relay, now_us) / 1000);
+	if (g->relay.mode == g->logged_mode)
+		return;
+	logline(LOG_NOTICE, "relay",
+		"mode=%s before=%s hosts=%u alive=%u age_ms=%lld",
+		names[g->relay.mode], names[g->logged_mode],
+		relay_known(&g->relay, now_us), relay_living(&g->relay, now_us),
+		(long long)relay_age_us(&g->relay, now_us) / 1000);
+	g->logged_mode = g->relay.mode;
 }
 
 static void on_heartbeat_timer(struct ev_loop *loop, ev_timer *w, int events)
@@ -498,7 +499,6 @@
 	struct gateway *g = w->data;
 	struct relay_load load[FIG_LOADS_MAX];
 	struct relay_send send[RELAY_SENDS_MAX];
-	enum relay_mode before = g->relay.mode;
 	int64_t now_us = gateway_now_us(g), age_us;
 	bool rows = false;
 	uint32_t i, n;
@@ -506,7 +506,7 @@
 	n = relay_tick(&g->relay, now_us, send);
 	g->loads_changed = true;
 	g->fleet.hosts = relay_known(&g->relay, now_us);
-	log_mode(g, before);
+	log_mode(g);
 	update_domains(g, now_us);
 	for (i = 0; i < n; i++)
 		if (send[i].kind == RELAY_SEND_REPORT)
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -374,6 +374,41 @@
     assert 200 * accepted >= 2000 * 3 * 0.8, accepted
 
 
+def modes(d):
+    """Returns the last mode that each host logged, by its name."""
+    out = {}
+    for h in d.hosts:
+        with open(h.log_path) as f:
+            lines = [x for x in f if "event=relay " in x]
+        out[h.name] = lines[-1].split("mode=")[1].split()[0] if lines else ""
+    return out
+
+
+async def test_many_hosts_know_each_other_through_delegates(d):
+    """What one host admits counts at all others, also after the delegates of a
+    domain were killed."""
+    d.accounts[0].update({"RatePerS": 1000, "Burst": 8000})
+    await start_small(d)
+    await asyncio.sleep(9)  # the bucket fills up
+    found = modes(d)
+    assert list(found.values()).count("member") >= 20, found
+    killed = [h for h in d.hosts[::2] if found[h.name] == "delegate"]
+    for _ in range(2):
+        statuses = []
+        for n in (1, 3, 5, 7):  # two requests of 3,080 tokens are admitted
+            statuses.append((await d.request("stream", host=n,
+                                             tokens=(3000, 80)))[1].status)
+            await asyncio.sleep(0.6)
+        assert statuses.count(200) in (2, 3), statuses
+        for h in killed:
+            await h.kill()
+        await asyncio.sleep(9)
+    assert killed, found
+
+
+test_many_hosts_know_each_other_through_delegates.hosts = 26
+
+
 async def test_completes_requests_before_it_stops(d):
     await start_small(d)
     task = asyncio.ensure_future(d.request("stream", tokens=(3000, 800)))
