relay: a stopping host counts as long as it is alive, and once

A host deletes its record at SIGTERM and goes on reporting; its next report seemed to be of a new host, and all that it had ever consumed was deducted. Ruled out: the limits (no account exceeded its own). Change: a host whose record is deleted stays until it is silent; only a process of less than 3 s counts in full at its first report. A charge is refunded if there is no memory for the request.

--- a/cmd/figbend/gateway/req.c
+++ b/cmd/figbend/gateway/req.c
@@ -558,6 +558,9 @@
 	struct req *r = req_new(g, c, call);
 
 	if (!r) {
+		if (account)
+			ratelimit_refund(&g->ratelimit, account->name,
+					 request_cost(call, account));
 		refuse_at_intake(g, c, call->id, 503, STATS_REFUSED_FULL,
 				 "Retry-After: 1\r\n", "out of memory");
 		return;
--- a/pkg/relay/relay.c
+++ b/pkg/relay/relay.c
@@ -30,6 +30,9 @@
  * domain are alive; else the domain may be cut off, and its hosts go on using
  * their part of limits. */
 #define GONE_US 20000000LL
+/* The first report of a host that has just started counts in full; one that has
+ * run for longer is new to this host only. */
+#define YOUNG_US 3000000LL
 /* A timer may fire this much early. */
 #define TIMER_TOLERANCE_US 20000LL
 
@@ -374,6 +377,7 @@
 		return false;
 	is_new = !h->addr[0];
 	h->recorded = true;
+	h->leaving = false;
 	if (is_new && !h->known) {
 		h->silent_us = now_us;
 		TAILQ_INSERT_TAIL(&r->silent, h, entry);
@@ -390,7 +394,10 @@
 
 	if (!h)
 		return false;
-	free_host(r, h);
+	h->recorded = false;
+	h->leaving = true;
+	if (!h->alive)
+		free_host(r, h);
 	return true;
 }
 
@@ -574,7 +581,8 @@
 		row[report.n++].amount =
 			(int64_t)s->refused.refused_val[i].amount;
 	}
-	report.young = (int64_t)s->uptime_ms * 1000 < now_us - r->start_us;
+	report.young = (int64_t)s->uptime_ms * 1000 < YOUNG_US &&
+		       (int64_t)s->uptime_ms * 1000 < now_us - r->start_us;
 	/* The rows of its domain's delegates count this host already. */
 	if (relay_uses_digest(r, now_us) ||
 	    (h->domain && h->domain != r->own_domain && h->domain->rows_us &&
@@ -741,8 +749,11 @@
 	struct relay_host *h, *next;
 
 	while ((h = TAILQ_FIRST(&r->alive)) != NULL &&
-	       now_us - h->heard_us > RELAY_ALIVE_US)
+	       now_us - h->heard_us > RELAY_ALIVE_US) {
 		set_silent(r, h, now_us);
+		if (h->leaving)
+			free_host(r, h);
+	}
 	while ((h = TAILQ_FIRST(&r->silent)) != NULL &&
 	       now_us - h->silent_us > GONE_US) {
 		TAILQ_REMOVE(&r->silent, h, entry);
--- a/pkg/relay/relay.h
+++ b/pkg/relay/relay.h
@@ -79,6 +79,7 @@
 	char addr[RELAY_ADDR_BYTES]; /* "" if unknown */
 	struct relay_domain *domain; /* NULL if unknown */
 	bool recorded;		     /* has a record in the store */
+	bool leaving; /* its record was deleted: removed once it is silent */
 	bool alive;
 	bool known;	   /* alive, or silent for a short time */
 	uint64_t boot;	   /* of its last report */
@@ -198,7 +199,10 @@
  */
 bool relay_add(struct relay *r, const char *name, const char *domain,
 	       const char *addr, int64_t now_us);
-/* Removes a host whose record was deleted. Returns true if it was known. */
+/*
+ * Removes a host whose record was deleted, at once or, if it is alive, as soon as
+ * it is not. Returns true if it was known.
+ */
 bool relay_remove(struct relay *r, const char *name);
 /* Returns the host with this name, or NULL. */
 struct relay_host *relay_find(const struct relay *r, const char *name);
