gateway: count the memory of buffered responses, not their length

Buffers double their memory as they grow, and the allocator keeps what they leave. Change: the sum is over the buffers' memory, and an eighth of memory_mb.

--- a/cmd/figbend/gateway/gateway.h
+++ b/cmd/figbend/gateway/gateway.h
@@ -110,7 +110,7 @@
 	struct reqs waiting; /* for capacity at an endpoint */
 	uint32_t n_reqs;
 	uint32_t n_waiting;
-	uint64_t response_bytes; /* buffered of all responses */
+	uint64_t response_bytes; /* memory of all buffered responses */
 	ev_timer waiting_timer;
 
 	/* heartbeat.c; req.c and store_reader.c also write ratelimit */
--- a/cmd/figbend/gateway/req.c
+++ b/cmd/figbend/gateway/req.c
@@ -10,8 +10,9 @@
 /* An endpoint may respond right at the deadline; its response can arrive this
  * much later. */
 #define DEADLINE_MARGIN_US 60000LL
-/* Responses that are being received may use a quarter of memory_mb. */
-#define RESPONSE_MEMORY_DIVISOR 4
+/* Responses that are being received may use an eighth of memory_mb; while buffers
+ * grow, the allocator keeps as much again. */
+#define RESPONSE_MEMORY_DIVISOR 8
 /* Longest deadline; also the default. */
 #define DEADLINE_MAX_US 60000000LL
 /* Retry-After of a refused request. Whether a failing plain service works again
@@ -126,24 +127,26 @@
 		(long long)r->directory->version);
 }
 
+/* The memory that buffers take counts, which is up to twice their content. */
 const char *req_buffer_response(struct req *r, const void *p, size_t n)
 {
 	struct gateway *g = r->g;
+	size_t capacity = r->body.capacity;
 
 	if (h1_buf_len(&r->body) + n > g->settings->response_max_kb * 1024ULL)
 		return "response body larger than response_max_kb";
-	if (g->response_bytes + n > (uint64_t)g->settings->memory_mb * 1048576 /
-					    RESPONSE_MEMORY_DIVISOR)
-		return "too many large responses at once";
 	if (h1_buf_append(&r->body, p, n) < 0)
 		return "out of memory";
-	g->response_bytes += n;
+	g->response_bytes += r->body.capacity - capacity;
+	if (g->response_bytes > (uint64_t)g->settings->memory_mb * 1048576 /
+					RESPONSE_MEMORY_DIVISOR)
+		return "too many large responses at once";
 	return NULL;
 }
 
 void req_drop_response(struct req *r)
 {
-	r->g->response_bytes -= h1_buf_len(&r->body);
+	r->g->response_bytes -= r->body.capacity;
 	h1_buf_finish(&r->body);
 }
 
