--- a/cmd/figbend/gateway/store_reader.c
+++ b/cmd/figbend/gateway/store_reader.c
@@ -17,10 +17,10 @@
  * wait.
  *
  * Two hosts of a domain read the streams. The others are passive: they fetch
- * records of endpoints and hosts from peers, and read the operators' stream when
- * a peer is ahead in it. A host that starts first looks for hosts of its domain
- * in one page of the hosts' snapshot; if two of them rank before it, it leaves
- * the rest to them.
+ * records from peers, or read them from the store if a peer says that they are
+ * too large. A host that starts first looks for hosts of its domain in one page
+ * of the hosts' snapshot; if two of them rank before it, it leaves the rest to
+ * them.
  */
 
 /* The mean wait of a poll is this times the number of hosts that read. */
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -390,7 +390,13 @@
     d.accounts[0].update({"RatePerS": 1000, "Burst": 8000})
     await start_small(d)
     await asyncio.sleep(9)  # the bucket fills up
-    found = modes(d)
+    # On a busy machine a delegate that answers late is replaced for 2 s, so
+    # there are more of them for a while.
+    for _ in range(60):
+        found = modes(d)
+        if list(found.values()).count("member") >= 20:
+            break
+        await asyncio.sleep(0.5)
     assert list(found.values()).count("member") >= 20, found
     killed = [h for h in d.hosts[::2] if found[h.name] == "delegate"]
     for _ in range(2):
