pools: a stream that ends with comments only is passed on whole

Cause: comments before the first event are held back since the mend of endless ones; a stream that ended without an event lost them. Read in the diff. Test: pools passes_on_a_stream_of_a_comment (failed first: empty body).

--- a/cmd/figbend/gateway/pools.c
+++ b/cmd/figbend/gateway/pools.c
@@ -543,6 +543,10 @@
 	if (!r->response_started) {
 		r->response_started = true;
 		h1_stream_start(r->conn, r->status, h1_buf_data(&r->fields));
+		/* Comments without an event. */
+		if (h1_buf_len(&r->body))
+			h1_stream_write(r->conn, h1_buf_data(&r->body),
+					h1_buf_len(&r->body));
 	}
 	req_complete(r);
 }
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -182,6 +182,15 @@
     assert len(executed) == 2, "not resumed at the other endpoint"
 
 
+async def test_passes_on_a_stream_of_a_comment(d):
+    await start_small(d)
+    for e in d.endpoints:
+        if e.stage == "decode":
+            e.faults = ["only_comment"]
+    rid, r = await d.request("stream", tokens=(3000, 160))
+    assert r.status == 200 and r.complete and r.body == b": k\n\n", r.body
+
+
 async def test_resumes_a_stream_after_its_last_complete_event(d):
     await start_small(d)
     for e in d.endpoints:
--- a/test/pools/standins.py
+++ b/test/pools/standins.py
@@ -202,6 +202,7 @@
     Streams only:
     "truncate_event"  closes within the fourth event, unless resumed
     "comments"        only comments after the third event, unless resumed
+    "only_comment"    ends after a comment, without an event
 
     A body that contains "poison" crashes the endpoint, except at the prefill
     stage.
@@ -402,6 +403,10 @@
                           "".join(f"{k}: {v}\r\n"
                                   for k, v in identity.items()) +
                           "\r\n").encode())
+            if fault == "only_comment":
+                writer.write(b"5\r\n: k\n\n\r\n0\r\n\r\n")
+                await writer.drain()
+                return False
             for i in range(last_event_id + 1, n_events + 1):
                 await asyncio.sleep(self.event_interval_s)
                 if disconnected.done() or writer.transport.is_closing():
