pools: log whether an answer had begun and the shared parts of its prompt

The logs could not tell whether crashes have a part of a prompt in common (hypothesis 1) or hosts lose each other's reports (3). step_failed now has began= and parts=.

--- a/cmd/figbend/gateway/pools.c
+++ b/cmd/figbend/gateway/pools.c
@@ -1,5 +1,6 @@
 #include "req.h"
 
+#include <stdio.h>
 #include <string.h>
 
 #include "logline.h"
@@ -60,6 +61,8 @@
 #define STALE_OUTPUT_SHARE 1.0
 /* Half of the outputs are longer than the caller's estimate. */
 #define EXPECTED_OUTPUT_FACTOR 1.3
+/* The shared parts of a prompt as text: 16 digits and a separator each. */
+#define PARTS_TEXT_BYTES (CALL_PARTS_MAX * 17 + 1)
 
 static double reserved_output_share(const struct gateway *g);
 static void reservation_denied(struct req *r, enum fleet_outcome outcome,
@@ -141,16 +144,31 @@
 	req_advance(r);
 }
 
+/* Writes the hashes of the shared parts, separated by commas; "-" if none. */
+static void write_parts(const struct call_prompt *p, char out[PARTS_TEXT_BYTES])
+{
+	size_t n = 0;
+	uint32_t i;
+
+	snprintf(out, PARTS_TEXT_BYTES, "-");
+	for (i = 0; i < p->n_shared_parts; i++)
+		n += (size_t)snprintf(out + n, PARTS_TEXT_BYTES - n,
+				      "%s%016llx", i ? "," : "",
+				      (unsigned long long)p->shared_part[i]);
+}
+
 static void log_step_failed(const struct req *r, const struct fleet_endpoint *e,
 			    const char *step, const char *reason)
 {
 	int64_t now_us = gateway_now_us(r->g);
+	char parts[PARTS_TEXT_BYTES];
 
+	write_parts(&r->call.prompt, parts);
 	logline(LOG_INFO, "step_failed",
 		"request=%s step=%s endpoint=%s why=\"%s\" took_ms=%lld "
-		"free_tokens=%lld own=%u others=%u",
+		"began=%d parts=%s free_tokens=%lld own=%u others=%u",
 		r->call.id, step, e->entry.id, reason,
-		(long long)(now_us - r->sent_us) / 1000,
+		(long long)(now_us - r->sent_us) / 1000, r->answer_began, parts,
 		(long long)fleet_free_tokens(
 			e, r->service->engine.kv_capacity_tokens),
 		e->running, e->peer_running);
@@ -467,6 +485,7 @@
 		r->max_gap_us = now_us - r->last_event_us;
 	}
 	r->last_event_us = now_us;
+	r->answer_began = true;
 	count_growth(r);
 	if (r->route->resumable)
 		req_set_step_timer(r, EVENT_TIMEOUT_US);
--- a/cmd/figbend/gateway/req.c
+++ b/cmd/figbend/gateway/req.c
@@ -407,6 +407,7 @@
 	adapter_write_call(&request, &r->conn->request.head,
 			   &r->conn->request.body, &attempt);
 	r->sent_us = gateway_now_us(r->g);
+	r->answer_began = false;
 	error = h1_exchange_start(&r->g->endpoints, &r->exchange,
 				  &e->entry.addr, h1_buf_data(&request),
 				  h1_buf_len(&request), h, r);
--- a/cmd/figbend/gateway/req.h
+++ b/cmd/figbend/gateway/req.h
@@ -54,6 +54,7 @@
 	char prefill_handle[ADAPTER_HANDLE_BYTES]; /* empty if none */
 	bool skip_prefill;	  /* the decode endpoint processes the prompt */
 	int64_t sent_us;	  /* start of the current exchange */
+	bool answer_began;	  /* an event arrived in the current exchange */
 	uint32_t failed_attempts; /* connect failures excluded */
 	/* Failed attempts that may have executed the request. */
 	uint32_t executions;
--- a/pkg/call/call.h
+++ b/pkg/call/call.h
@@ -20,12 +20,18 @@
 	CALL_STREAM, /* event stream; executed again only if resumable */
 };
 
-/* Token counts that the caller declares for a model engine. */
+#define CALL_PARTS_MAX 16
+
+/* What the caller declares of a prompt for a model engine. */
 struct call_prompt {
 	bool present; /* false if the request declares no token counts */
 	uint32_t prompt_tokens;
 	uint32_t output_max_tokens;
 	uint32_t output_expected_tokens; /* caller's estimate, 0 if none */
+	/* Hashes of the ids of the parts that other prompts may share, in their
+	 * order; the last part of a prompt is its own and not among them. */
+	uint64_t shared_part[CALL_PARTS_MAX];
+	uint32_t n_shared_parts;
 };
 
 /* Routing metadata from a request head. All strings are copies. */
