poison: block the part of a prompt that crashes endpoints

Cause: a crash was counted against the whole request (account, path, body) and only when the store showed it, 3.3 s later. Requests that share a part of their prompt have nothing else in common, so no count reached its limit. Change: a break before the answer has begun charges the request and the shared parts of its prompt; an answer that begins acquits them; from three breaks in a row on the deepest part that has so many is blocked, on all hosts at once. Entries are exchanged, so that hosts that start or were cut off know them. Ruled out: counting parts without the acquittal (a first part shared with sound prompts would be blocked), reports that do not arrive.

--- a/cmd/figbend/daemon.c
+++ b/cmd/figbend/daemon.c
@@ -87,6 +87,7 @@
 	case FIG_RECORDS_GET:
 	case FIG_ROWS:
 	case FIG_DIGEST:
+	case FIG_SUSPECTS:
 		break;
 	}
 	return -EPROTO;
@@ -120,6 +121,7 @@
 	case FIG_RECORDS_GET:
 	case FIG_ROWS:
 	case FIG_DIGEST:
+	case FIG_SUSPECTS:
 		break;
 	}
 }
--- a/cmd/figbend/gateway/crash.c
+++ b/cmd/figbend/gateway/crash.c
@@ -1,154 +1,230 @@
 #include "req.h"
 
-#include <stdio.h>
+#include <assert.h>
 #include <string.h>
 
 #include "logline.h"
+#include "namehash.h"
 
 /*
- * Finds requests that crash the endpoints that execute them. A request that
- * fails at an endpoint is kept as a candidate. If the endpoint's entry then
- * shows a crash, the crash counts against the fingerprint of the request, on
- * this host and, by a report, on all others. A request with too many crashes is
- * refused.
+ * Finds what crashes the endpoints that execute it: pkg/poison decides, and here
+ * it is told of broken connections, answers and crashes, and its entries are
+ * exchanged with the other hosts.
  */
 
-/* Crashes after which a request is blocked, if no other suspects were at the
- * endpoints. A harmless request rarely meets three crashes, each within ten
- * minutes of the one before; after that time they expire. */
-#define CRASHES_MAX 3
-/* How long a failed request stays a candidate. A crashed endpoint loses its
- * entry after three missed heartbeats, which come about every 1.2 s, or shows a
- * new start time earlier. */
-#define CANDIDATE_TTL_US 6000000LL
+/* Entries go to this many hosts each interval, for hosts that start or that
+ * missed a message. */
+#define GOSSIP_HOSTS 2
+#define GOSSIP_INTERVAL_US 500000LL
+/* Entries in such a message. */
+#define GOSSIP_ENTRIES 16
+
+static_assert(POISON_BREAKS <= FIG_BREAKS_MAX, "a report fits the message");
+static_assert(POISON_KEYS_MAX >= CALL_PARTS_MAX + 1, "a request has a key too");
+
+/* FNV-1a, as pkg/namehash has it, over parts of memory. */
+static uint64_t hash_bytes(uint64_t h, const void *p, size_t n)
+{
+	const uint8_t *byte = p;
+
+	while (n--)
+		h = (h ^ *byte++) * 1099511628211ULL;
+	return h;
+}
 
 /* Hashes what stays the same when a caller repeats a request; never 0. */
 static uint64_t fingerprint(const struct call_head *call, const char *account,
 			    const struct h1_buf *body)
 {
-	uint64_t h = quarantine_hash_start();
+	uint64_t h = namehash(account);
 
-	h = quarantine_hash(h, account, strlen(account) + 1);
-	h = quarantine_hash(h, call->host, strlen(call->host) + 1);
-	h = quarantine_hash(h, call->path, strlen(call->path) + 1);
-	h = quarantine_hash(h, h1_buf_data(body), h1_buf_len(body));
+	h = hash_bytes(h, call->host, strlen(call->host) + 1);
+	h = hash_bytes(h, call->path, strlen(call->path) + 1);
+	h = hash_bytes(h, h1_buf_data(body), h1_buf_len(body));
 	return h ? h : 1;
 }
 
+/* Fills the keys of a request, most shared first, and returns their number. */
+static uint32_t fill_keys(const struct call_head *call,
+			  const struct directory_account *account,
+			  const struct h1_buf *body,
+			  uint64_t key[POISON_KEYS_MAX])
+{
+	uint32_t n = call->prompt.n_shared_parts;
+
+	memcpy(key, call->prompt.shared_part, n * sizeof(key[0]));
+	key[n] = fingerprint(call, account ? account->name : "", body);
+	return n + 1;
+}
+
+/* Names one start of an endpoint. */
+static uint64_t endpoint_key(const struct fleet_endpoint *e)
+{
+	return hash_bytes(namehash(e->entry.id), &e->entry.started_ms,
+			  sizeof(e->entry.started_ms));
+}
+
 /* See gateway.h. */
 void crash_init(struct gateway *g)
 {
-	quarantine_init(&g->quarantine);
-	g->quarantine.crashes_max = CRASHES_MAX;
+	poison_init(&g->poison);
 }
 
-/* See gateway.h. */
-void crash_add_candidate(struct req *r)
+/* Fills a message with the entries that changed from since_us on. */
+static bool fill_message(struct gateway *g, struct fig_suspect *row,
+			 struct fig_break brk[][POISON_BREAKS], uint32_t max,
+			 int64_t since_us, struct fig_call *call)
 {
-	struct gateway *g = r->g;
-	struct crash_candidate *c =
-		&g->crash_candidates[g->crash_candidates_next++ %
-				     CRASH_CANDIDATES_MAX];
-
-	c->fingerprint = fingerprint(&r->call,
-				     r->account ? r->account->name : "",
-				     &r->conn->request.body);
-	c->failed_us = gateway_now_us(g);
-	snprintf(c->endpoint, sizeof(c->endpoint), "%s", r->endpoint->entry.id);
-	snprintf(c->request, sizeof(c->request), "%s", r->call.id);
-	/* The store may report the crash before the connection breaks. */
-	if (!r->endpoint->listed && !r->endpoint->entry.draining)
-		crash_confirm(g, c->endpoint);
+	struct poison_report report[FIG_SUSPECTS_MAX];
+	uint32_t i, j, n;
+
+	n = poison_report(&g->poison, report, max, since_us, gateway_now_us(g));
+	for (i = 0; i < n; i++) {
+		row[i].key = report[i].key;
+		row[i].acquitted_ms = report[i].acquitted_ms;
+		row[i].blocked_ms = report[i].blocked_ms;
+		row[i].blocks = report[i].blocks;
+		row[i].brk.brk_len = report[i].n_breaks;
+		row[i].brk.brk_val = brk[i];
+		for (j = 0; j < report[i].n_breaks; j++) {
+			brk[i][j].endpoint = report[i].brk[j].endpoint;
+			brk[i][j].age_ms = report[i].brk[j].age_ms;
+			brk[i][j].took_ms = report[i].brk[j].took_ms;
+			brk[i][j].confirmed = report[i].brk[j].confirmed;
+		}
+	}
+	memset(call, 0, sizeof(*call));
+	call->kind = FIG_SUSPECTS;
+	call->fig_call_u.suspects.suspect.suspect_len = n;
+	call->fig_call_u.suspects.suspect.suspect_val = row;
+	return n > 0;
 }
 
-/*
- * Counts a crash against a candidate's request, adds it to the report to the
- * other hosts if there is space, and frees the candidate's slot.
- */
-static void count_crash(struct gateway *g, struct crash_candidate *c,
-			struct fig_crash *report)
+/* Tells all hosts what changed from since_us on. */
+static void send_changes(struct gateway *g, int64_t since_us)
 {
-	bool blocked = quarantine_record_crash(&g->quarantine, c->fingerprint,
-					       c->endpoint, gateway_now_us(g));
-	struct fig_crashed *row;
+	struct fig_break brk[FIG_SUSPECTS_MAX][POISON_BREAKS];
+	struct fig_suspect row[FIG_SUSPECTS_MAX];
+	struct fig_call call;
 
-	stats_add(&g->stats, STATS_CRASH_SUSPECTS, 1);
-	logline(LOG_WARNING, "endpoint_crashed",
-		"request=%s endpoint=%s fingerprint=%016llx broken_ms=%lld "
-		"held=%d",
-		c->request, c->endpoint, (unsigned long long)c->fingerprint,
-		(long long)(gateway_now_us(g) - c->failed_us) / 1000, blocked);
-	if (report->crashed.crashed_len < FIG_CRASHES_MAX) {
-		row = &report->crashed
-			       .crashed_val[report->crashed.crashed_len++];
-		row->fingerprint = c->fingerprint;
-		row->held = blocked;
-	}
-	c->fingerprint = 0;
+	if (fill_message(g, row, brk, FIG_SUSPECTS_MAX, since_us, &call))
+		heartbeat_broadcast(g, &call);
 }
 
-static bool is_candidate(const struct gateway *g,
-			 const struct crash_candidate *c, const char *endpoint)
+/* See gateway.h. */
+void crash_send_suspects(struct gateway *g)
 {
-	return c->fingerprint && strcmp(c->endpoint, endpoint) == 0 &&
-	       gateway_now_us(g) - c->failed_us < CANDIDATE_TTL_US;
+	struct fig_break brk[FIG_SUSPECTS_MAX][POISON_BREAKS];
+	struct fig_suspect row[FIG_SUSPECTS_MAX];
+	struct fig_call call;
+	int i;
+
+	if (!poison_suspects_any(&g->poison) ||
+	    gateway_now_us(g) - g->suspects_sent_us < GOSSIP_INTERVAL_US)
+		return;
+	g->suspects_sent_us = gateway_now_us(g);
+	if (!fill_message(g, row, brk, GOSSIP_ENTRIES, 0, &call))
+		return;
+	for (i = 0; i < GOSSIP_HOSTS; i++)
+		heartbeat_send_random(g, &call);
 }
 
-/*
- * See gateway.h. A request is allowed more crashes if other suspects were at
- * the endpoint, and a candidate becomes a suspect when it is counted. Known
- * suspects are therefore counted first: candidates that were there by chance
- * must not raise their limit.
- */
-void crash_confirm(struct gateway *g, const char *endpoint)
+/* See gateway.h. An endpoint that leaves in order closes its connections. */
+void crash_charge(struct req *r)
 {
-	struct fig_crashed rows[FIG_CRASHES_MAX];
-	struct fig_call call = {.kind = FIG_CRASH};
-	struct fig_crash *report = &call.fig_call_u.crash;
-	struct crash_candidate *c;
-	int pass, i;
-
-	report->crashed.crashed_val = rows;
-	for (pass = 0; pass < 2; pass++) {
-		for (i = 0; i < CRASH_CANDIDATES_MAX; i++) {
-			c = &g->crash_candidates[i];
-			if (!is_candidate(g, c, endpoint))
-				continue;
-			if (pass == 0 &&
-			    quarantine_check(&g->quarantine, c->fingerprint,
-					     gateway_now_us(g)) ==
-				    QUARANTINE_CLEAR)
-				continue;
-			count_crash(g, c, report);
-		}
-	}
-	if (report->crashed.crashed_len)
-		heartbeat_broadcast(g, &call);
+	struct gateway *g = r->g;
+	int64_t now_us = gateway_now_us(g);
+	uint64_t key[POISON_KEYS_MAX], blocked;
+	struct poison_break brk;
+	uint32_t n;
+
+	if (r->endpoint->entry.draining)
+		return;
+	n = fill_keys(&r->call, r->account, &r->conn->request.body, key);
+	brk.endpoint = endpoint_key(r->endpoint);
+	brk.sent_us = r->sent_us;
+	brk.at_us = now_us;
+	/* The store may show the crash before the connection breaks. */
+	brk.confirmed = !r->endpoint->listed;
+	blocked = poison_charge(&g->poison, key, n, &brk, now_us);
+	stats_add(&g->stats, STATS_CRASH_SUSPECTS, 1);
+	logline(LOG_WARNING, "answer_broken",
+		"request=%s endpoint=%s fingerprint=%016llx parts=%u "
+		"blocked=%016llx",
+		r->call.id, r->endpoint->entry.id,
+		(unsigned long long)key[n - 1], n - 1,
+		(unsigned long long)blocked);
+	send_changes(g, now_us);
 }
 
 /* See gateway.h. */
-void crash_apply_report(struct gateway *g, const struct fig_crash *c)
+void crash_acquit(struct req *r)
 {
-	uint32_t i;
+	struct gateway *g = r->g;
+	int64_t now_us = gateway_now_us(g);
+	uint64_t key[POISON_KEYS_MAX];
+	uint32_t n;
+
+	if (!poison_suspects_any(&g->poison))
+		return;
+	n = fill_keys(&r->call, r->account, &r->conn->request.body, key);
+	if (!poison_acquit(&g->poison, key, n, now_us))
+		return;
+	logline(LOG_DEBUG, "acquitted", "request=%s fingerprint=%016llx",
+		r->call.id, (unsigned long long)key[n - 1]);
+	send_changes(g, now_us);
+}
 
-	for (i = 0; i < c->crashed.crashed_len; i++)
-		quarantine_apply_report(&g->quarantine,
-					c->crashed.crashed_val[i].fingerprint,
-					c->crashed.crashed_val[i].held,
-					gateway_now_us(g));
+/* See gateway.h. */
+void crash_confirm(struct gateway *g, const struct fleet_endpoint *e)
+{
+	uint32_t n = poison_confirm(&g->poison, endpoint_key(e));
+
+	if (n)
+		logline(LOG_WARNING, "endpoint_crashed",
+			"endpoint=%s service=%s suspects=%u", e->entry.id,
+			e->entry.service, n);
 }
 
 /* See gateway.h. */
-bool crash_is_blocked(struct gateway *g, const struct call_head *call,
-		      const struct directory_account *account,
-		      const struct h1_buf *body)
+void crash_apply_report(struct gateway *g, const struct fig_suspects *s)
 {
-	int64_t now_us = gateway_now_us(g);
+	const struct fig_suspect *row;
+	struct poison_report report;
+	uint32_t i, j;
+
+	for (i = 0; i < s->suspect.suspect_len; i++) {
+		row = &s->suspect.suspect_val[i];
+		memset(&report, 0, sizeof(report));
+		report.key = row->key;
+		report.acquitted_ms = row->acquitted_ms;
+		report.blocked_ms = row->blocked_ms;
+		report.blocks = row->blocks;
+		for (j = 0; j < row->brk.brk_len && j < POISON_BREAKS; j++) {
+			report.brk[j].endpoint = row->brk.brk_val[j].endpoint;
+			report.brk[j].age_ms = row->brk.brk_val[j].age_ms;
+			report.brk[j].took_ms = row->brk.brk_val[j].took_ms;
+			report.brk[j].confirmed = row->brk.brk_val[j].confirmed;
+		}
+		report.n_breaks = j;
+		if (poison_merge(&g->poison, &report, gateway_now_us(g)))
+			logline(LOG_WARNING, "blocked",
+				"key=%016llx for_ms=%u blocks=%u source=peer",
+				(unsigned long long)row->key, row->blocked_ms,
+				row->blocks);
+	}
+}
+
+/* See gateway.h. */
+int64_t crash_blocked_us(struct gateway *g, const struct call_head *call,
+			 const struct directory_account *account,
+			 const struct h1_buf *body)
+{
+	uint64_t key[POISON_KEYS_MAX];
+	uint32_t n;
 
-	if (!quarantine_blocks_any(&g->quarantine, now_us))
-		return false;
-	return quarantine_check(&g->quarantine,
-				fingerprint(call, account ? account->name : "",
-					    body),
-				now_us) == QUARANTINE_BLOCKED;
+	if (!poison_blocks_any(&g->poison, gateway_now_us(g)))
+		return 0;
+	n = fill_keys(call, account, body, key);
+	return poison_blocked_us(&g->poison, key, n, gateway_now_us(g));
 }
--- a/cmd/figbend/gateway/gateway.h
+++ b/cmd/figbend/gateway/gateway.h
@@ -13,8 +13,8 @@
 #include "fleet.h"
 #include "h1.h"
 #include "peer.h"
+#include "poison.h"
 #include "pool_settings.h"
-#include "quarantine.h"
 #include "ratelimit.h"
 #include "record.h"
 #include "relay.h"
@@ -60,20 +60,6 @@
 struct cleanup;
 TAILQ_HEAD(cleanups, cleanup);
 
-#define CRASH_CANDIDATES_MAX 128
-
-/*
- * crash.c: a request that failed at an endpoint which may have begun to execute
- * it. The request counts as a cause if the endpoint's entry shows a crash soon
- * after.
- */
-struct crash_candidate {
-	uint64_t fingerprint; /* 0 if the slot is free */
-	char endpoint[CALL_ID_BYTES];
-	char request[CALL_ID_BYTES];
-	int64_t failed_us; /* when the request failed */
-};
-
 struct gateway {
 	struct ev_loop *loop;
 	const struct pool_settings *settings; /* borrowed */
@@ -133,10 +119,8 @@
 	struct cleanups cleanups; /* cleanup.c: calls in progress */
 
 	/* crash.c */
-	struct quarantine quarantine;
-	struct crash_candidate
-		crash_candidates[CRASH_CANDIDATES_MAX]; /* ring */
-	uint32_t crash_candidates_next; /* index modulo the ring's size */
+	struct poison poison;
+	int64_t suspects_sent_us; /* last time to a few hosts */
 };
 
 /*
@@ -222,6 +206,8 @@
 void heartbeat_send_domain(struct gateway *g);
 /* Sends a one-way message to all known hosts; it may be lost. */
 void heartbeat_broadcast(struct gateway *g, const struct fig_call *call);
+/* Sends a one-way message to a host chosen at random, if any is known. */
+void heartbeat_send_random(struct gateway *g, const struct fig_call *call);
 
 /*
  * cleanup.c: releases what a request no longer needs at an endpoint. No request
@@ -235,21 +221,28 @@
 /* Cancels the calls in progress. */
 void cleanup_finish(struct gateway *g);
 
-/* crash.c: finds requests that crash endpoints, and blocks them. */
+/* crash.c: finds what crashes endpoints, and blocks it. */
 void crash_init(struct gateway *g);
-/* The request's endpoint failed, and may have begun to execute the request. */
-void crash_add_candidate(struct req *r);
 /*
- * The endpoint's entry shows that it crashed or restarted. Counts the crash
- * against the requests that just failed there and reports them to all hosts.
+ * The connection to the request's endpoint broke, and the endpoint may have
+ * begun to execute the request, but no answer had begun.
+ */
+void crash_charge(struct req *r);
+/* An answer to the request has begun: it does not crash endpoints. */
+void crash_acquit(struct req *r);
+/* The store shows that the endpoint crashed or restarted. */
+void crash_confirm(struct gateway *g, const struct fleet_endpoint *e);
+/* Merges what another host knows. */
+void crash_apply_report(struct gateway *g, const struct fig_suspects *s);
+/* Sends what this host knows to a few hosts, if it is time to. */
+void crash_send_suspects(struct gateway *g);
+/*
+ * Returns the time in microseconds for which the request, or a part of its
+ * prompt, is blocked since it crashes endpoints; 0 if it is not.
  */
-void crash_confirm(struct gateway *g, const char *endpoint);
-/* Counts crashes that another host attributed to requests. */
-void crash_apply_report(struct gateway *g, const struct fig_crash *c);
-/* Returns true if the request crashed too many endpoints to execute again. */
-bool crash_is_blocked(struct gateway *g, const struct call_head *call,
-		      const struct directory_account *account,
-		      const struct h1_buf *body);
+int64_t crash_blocked_us(struct gateway *g, const struct call_head *call,
+			 const struct directory_account *account,
+			 const struct h1_buf *body);
 
 /* req.c: requests of callers; the handlers' ctx is the struct gateway. */
 void req_init(struct gateway *g);
--- a/cmd/figbend/gateway/heartbeat.c
+++ b/cmd/figbend/gateway/heartbeat.c
@@ -383,8 +383,8 @@
 	struct relay_host *h = NULL;
 
 	switch (from->call.kind) {
-	case FIG_CRASH:
-		crash_apply_report(g, &from->call.fig_call_u.crash);
+	case FIG_SUSPECTS:
+		crash_apply_report(g, &from->call.fig_call_u.suspects);
 		return;
 	case FIG_SHARE:
 		h = relay_on_report(&g->relay, from->sender, from->boot,
@@ -454,6 +454,18 @@
 			peer_send(&g->peer, g->relay.host[i]->addr, call);
 }
 
+/* See gateway.h. */
+void heartbeat_send_random(struct gateway *g, const struct fig_call *call)
+{
+	const struct relay_host *h;
+
+	if (!g->relay.n_hosts)
+		return;
+	h = g->relay.host[gateway_random(g) % g->relay.n_hosts];
+	if (h->addr[0])
+		peer_send(&g->peer, h->addr, call);
+}
+
 /* See gateway.h. With delegates their digests tell it. */
 void heartbeat_send_domain(struct gateway *g)
 {
@@ -517,6 +529,7 @@
 		set_self(g, load);
 		send_rows(g, send, n);
 	}
+	crash_send_suspects(g);
 	age_us = relay_age_us(&g->relay, now_us);
 	if (age_us >= 0)
 		stats_observe(&g->stats, STATS_KNOWLEDGE_AGE_S, age_us);
--- a/cmd/figbend/gateway/plain.c
+++ b/cmd/figbend/gateway/plain.c
@@ -67,6 +67,7 @@
 	if (outcome == H1_NOT_SENT) {
 		attempt_failed(r, FLEET_CONNECT_FAILED, false, reason);
 	} else if (outcome != H1_COMPLETE) {
+		crash_charge(r);
 		attempt_failed(r, FLEET_FAILED, true, reason);
 	} else if (r->not_executed) {
 		attempt_failed(
@@ -82,6 +83,7 @@
 	} else {
 		fleet_record_outcome(r->endpoint, FLEET_SUCCESS,
 				     now_us - r->sent_us, now_us);
+		crash_acquit(r);
 		req_complete(r);
 	}
 }
@@ -101,8 +103,6 @@
 		(long long)(now_us - r->sent_us) / 1000, r->endpoint->running,
 		(long long)(now_us - r->endpoint->load_us) / 1000);
 	fleet_record_outcome(r->endpoint, outcome, now_us - r->sent_us, now_us);
-	if (outcome == FLEET_FAILED && may_have_executed)
-		crash_add_candidate(r);
 	req_drop_response(r);
 	req_exclude_endpoint(r, r->endpoint);
 	req_detach_endpoint(r);
--- a/cmd/figbend/gateway/pools.c
+++ b/cmd/figbend/gateway/pools.c
@@ -367,6 +367,8 @@
 		start_decode(r);
 		return;
 	}
+	if (req_refuse_if_blocked(r))
+		return;
 	r->step = REQ_PREFILLING;
 	r->prefill_endpoint = fleet_ref(e);
 	r->prefill_counted = true;
@@ -400,8 +402,6 @@
 	log_step_failed(r, r->endpoint, "decode", reason);
 	req_waste_prompt(r, causes[outcome]);
 	fleet_record_outcome(r->endpoint, outcome, now_us - r->sent_us, now_us);
-	if (outcome == FLEET_FAILED && may_have_executed)
-		crash_add_candidate(r);
 	sse_drop_partial(&r->events);
 	req_drop_response(r);
 	if (outcome != FLEET_OVERLOADED)
@@ -485,6 +485,8 @@
 		r->max_gap_us = now_us - r->last_event_us;
 	}
 	r->last_event_us = now_us;
+	if (!r->answer_began)
+		crash_acquit(r);
 	r->answer_began = true;
 	count_growth(r);
 	if (r->route->resumable)
@@ -580,6 +582,8 @@
 	if (outcome == H1_NOT_SENT) {
 		decode_failed(r, FLEET_CONNECT_FAILED, false, reason);
 	} else if (outcome != H1_COMPLETE) {
+		if (!r->answer_began)
+			crash_charge(r);
 		decode_failed(r, FLEET_FAILED, true, reason);
 	} else if (r->not_executed) {
 		decode_failed(r,
@@ -597,6 +601,7 @@
 	} else {
 		fleet_record_outcome(r->endpoint, FLEET_SUCCESS, 0,
 				     gateway_now_us(r->g));
+		crash_acquit(r);
 		req_complete(r);
 	}
 }
@@ -614,6 +619,8 @@
 		req_advance(r);
 		return;
 	}
+	if (req_refuse_if_blocked(r))
+		return;
 	if (!fleet_is_usable(&r->g->fleet, r->endpoint)) {
 		/* The next decode endpoint can import the prefill result. */
 		log_step_failed(r, r->endpoint, "decode",
--- a/cmd/figbend/gateway/req.c
+++ b/cmd/figbend/gateway/req.c
@@ -20,6 +20,7 @@
  * seconds end. */
 #define RETRY_AFTER_PLAIN_S 0.3
 #define RETRY_AFTER_POOLS_S 2.5
+#define BLOCKED_REASON "blocked: the request or a part of it crashes endpoints"
 /* Other hosts accept the request at once. */
 #define RETRY_AFTER_STOPPING_S 0.05
 
@@ -201,6 +202,18 @@
 	req_free(r);
 }
 
+bool req_refuse_if_blocked(struct req *r)
+{
+	int64_t blocked_us = crash_blocked_us(r->g, &r->call, r->account,
+					      &r->conn->request.body);
+
+	if (!blocked_us)
+		return false;
+	r->retry_after_s = (double)blocked_us / 1e6;
+	req_refuse(r, BLOCKED_REASON);
+	return true;
+}
+
 void req_refuse_no_endpoint(struct req *r, const char *reason)
 {
 	struct gateway *g = r->g;
@@ -291,6 +304,8 @@
 			req_refuse(r, "deadline exceeded");
 		return;
 	}
+	if (req_refuse_if_blocked(r))
+		return;
 	if (r->service && r->service->engine.present)
 		pools_advance(r);
 	else
@@ -364,7 +379,7 @@
 {
 	struct gateway *g = r->g;
 
-	if (crash_is_blocked(g, &r->call, r->account, &r->conn->request.body))
+	if (crash_blocked_us(g, &r->call, r->account, &r->conn->request.body))
 		return false;
 	if (ratelimit_retry_consume(&g->retry_budgets, r->service->name,
 				    g->fleet.hosts, gateway_now_us(g))) {
@@ -599,6 +614,8 @@
 	const struct directory_route *route;
 	const char *reason = "";
 	struct call_head call;
+	int64_t blocked_us;
+	char fields[64];
 
 	stats_add(&g->stats, STATS_REQUESTS, 1);
 	if (adapter_read_call(&c->request.head, &call, &reason) < 0) {
@@ -625,10 +642,12 @@
 				 NULL, "unknown API key");
 		return;
 	}
-	if (crash_is_blocked(g, &call, account, &c->request.body)) {
+	blocked_us = crash_blocked_us(g, &call, account, &c->request.body);
+	if (blocked_us) {
+		snprintf(fields, sizeof(fields), "Retry-After: %.2f\r\n",
+			 (double)blocked_us / 1e6);
 		refuse_at_intake(g, c, call.id, 503, STATS_REFUSED_BLOCKED,
-				 "Retry-After: 60\r\n",
-				 "blocked: the request crashed endpoints");
+				 fields, BLOCKED_REASON);
 		return;
 	}
 	if (charge_account(g, c, &call, account))
--- a/cmd/figbend/gateway/req.h
+++ b/cmd/figbend/gateway/req.h
@@ -97,6 +97,11 @@
  * endpoint may have executed fails with 502 instead, as by req_fail().
  */
 void req_refuse(struct req *r, const char *reason);
+/*
+ * Refuses a request if it, or a part of its prompt, crashes endpoints. Returns
+ * true if the request has ended.
+ */
+bool req_refuse_if_blocked(struct req *r);
 /*
  * Refuses a request, like req_refuse(), because its service has no endpoint
  * that can be chosen. For a plain service that includes full endpoints; if
--- a/cmd/figbend/gateway/store_reader.c
+++ b/cmd/figbend/gateway/store_reader.c
@@ -154,7 +154,7 @@
 	/* An endpoint drains before it stops in order: without that, the loss
 	 * of its entry counts as a crash. */
 	if (!e->entry.draining)
-		crash_confirm(g, id);
+		crash_confirm(g, e);
 	logline(LOG_NOTICE, expired ? "endpoint_lapsed" : "endpoint_gone",
 		"endpoint=%s offset=%llu source=%s running=%u", id,
 		(unsigned long long)offset, source, e->running);
@@ -183,7 +183,7 @@
 	}
 	/* A new start time: the endpoint crashed and restarted. */
 	if (known && e->entry.started_ms != entry.started_ms)
-		crash_confirm(g, id);
+		crash_confirm(g, e);
 	if (!fleet_upsert(&g->fleet, &entry, offset, gateway_now_us(g)))
 		return;
 	if (!known || was_draining != entry.draining)
--- /dev/null
+++ b/pkg/poison/test/poison_test.cc
@@ -0,0 +1,278 @@
+#include <gtest/gtest.h>
+
+#include <vector>
+
+extern "C" {
+#include "poison.h"
+}
+
+namespace
+{
+
+constexpr int64_t kSecond = 1000000;
+using Keys = std::vector<uint64_t>;
+
+/* A host, with the time that all hosts share in the test. */
+class Host
+{
+      public:
+	explicit Host(int64_t &now_us) : now_us(now_us)
+	{
+		poison_init(&p);
+	}
+
+	/* Returns the key that is blocked. The request ran for 20 ms. */
+	uint64_t Break(const Keys &k, uint64_t endpoint, bool confirmed = true)
+	{
+		struct poison_break b = {endpoint, now_us - 20000, now_us,
+					 confirmed};
+
+		return poison_charge(&p, k.data(), (uint32_t)k.size(), &b,
+				     now_us);
+	}
+
+	bool Answer(const Keys &k)
+	{
+		return poison_acquit(&p, k.data(), (uint32_t)k.size(), now_us);
+	}
+
+	bool Blocks(const Keys &k)
+	{
+		return poison_blocked_us(&p, k.data(), (uint32_t)k.size(),
+					 now_us) > 0;
+	}
+
+	void Tell(Host &other)
+	{
+		struct poison_report r[POISON_ENTRIES_MAX];
+		uint32_t n =
+			poison_report(&p, r, POISON_ENTRIES_MAX, 0, now_us);
+
+		for (uint32_t i = 0; i < n; i++)
+			poison_merge(&other.p, &r[i], other.now_us);
+	}
+
+	struct poison p;
+	int64_t &now_us;
+};
+
+class Poison : public ::testing::Test
+{
+      protected:
+	int64_t now_us = 100 * kSecond;
+	Host a{now_us}, b{now_us};
+};
+
+/* Guards against a part that crashes endpoint after endpoint since the requests
+ * with it have nothing else in common. */
+TEST_F(Poison, BlocksAPartOfRequestsThatAreNotAlike)
+{
+	EXPECT_EQ(a.Break({1, 100}, 1), 0u);
+	now_us += kSecond;
+	EXPECT_EQ(a.Break({1, 101}, 2), 0u);
+	EXPECT_FALSE(a.Blocks({1, 102}));
+	now_us += kSecond;
+	EXPECT_EQ(a.Break({1, 102}, 3), 1u);
+	EXPECT_TRUE(a.Blocks({1, 103}));
+	EXPECT_FALSE(a.Blocks({2, 103}));
+}
+
+/* Guards against a refusal of all that shares the first part. */
+TEST_F(Poison, BlocksTheDeepestPartThatExplainsAllBreaks)
+{
+	for (uint64_t i = 0; i < 3; i++, now_us += kSecond)
+		a.Break({7, 1, 100 + i}, i);
+	EXPECT_TRUE(a.Blocks({8, 1, 200}));
+	EXPECT_FALSE(a.Blocks({7, 200}));
+	EXPECT_FALSE(a.Blocks({7, 2, 200}));
+}
+
+TEST_F(Poison, BlocksTheFirstPartIfCrashesGoOnWithoutTheDeeperOne)
+{
+	for (uint64_t i = 0; i < 3; i++, now_us += kSecond)
+		a.Break({7, 1, 100 + i}, i);
+	for (uint64_t i = 3; i < 5; i++, now_us += kSecond)
+		a.Break({7, 2 + i, 100 + i}, i);
+	EXPECT_TRUE(a.Blocks({7, 200}));
+}
+
+/* Guards against more than five crashes when each request is repeated. */
+TEST_F(Poison, BlocksThePartOfRequestsThatAreRepeated)
+{
+	uint64_t endpoint = 0;
+
+	for (uint64_t request = 100; request < 110; request++)
+		for (int i = 0; i < 3; i++, now_us += kSecond)
+			if (!a.Blocks({1, request}))
+				a.Break({1, request}, endpoint++);
+	EXPECT_LE(endpoint, 5u);
+}
+
+TEST_F(Poison, AnAnswerAcquits)
+{
+	for (uint64_t i = 0; i < 10; i++, now_us += kSecond) {
+		EXPECT_EQ(a.Break({7, 100 + i}, i), 0u);
+		now_us += kSecond;
+		EXPECT_TRUE(a.Answer({7, 200 + i}));
+		EXPECT_FALSE(a.Answer({7, 200 + i}));
+	}
+	EXPECT_FALSE(a.Blocks({7, 300}));
+}
+
+TEST_F(Poison, SimultaneousBreaksCountOnce)
+{
+	for (uint64_t i = 0; i < 10; i++, now_us += 1000)
+		a.Break({1, 100 + i}, i);
+	EXPECT_FALSE(a.Blocks({1, 200}));
+}
+
+/* The request was sent to the next endpoint as the one before had crashed. */
+TEST_F(Poison, BreaksOneAfterTheOtherCountEach)
+{
+	for (uint64_t i = 0; i < 3; i++, now_us += 1000) {
+		struct poison_break brk = {i, now_us - 500, now_us, false};
+		uint64_t key = 1;
+
+		poison_charge(&a.p, &key, 1, &brk, now_us);
+	}
+	EXPECT_TRUE(a.Blocks({1}));
+}
+
+TEST_F(Poison, OneEndpointCountsOnce)
+{
+	for (int i = 0; i < 10; i++, now_us += kSecond)
+		a.Break({1, 100}, 5);
+	EXPECT_FALSE(a.Blocks({1, 100}));
+}
+
+/* Connections also break when endpoints do not crash. */
+TEST_F(Poison, UnconfirmedBreaksCountForHalfAMinute)
+{
+	for (uint64_t i = 0; i < 3; i++, now_us += kSecond)
+		a.Break({1, 100 + i}, i, false);
+	EXPECT_TRUE(a.Blocks({1, 200}));
+	now_us += 29 * kSecond;
+	EXPECT_FALSE(a.Blocks({1, 200}));
+}
+
+TEST_F(Poison, ConfirmedBreaksLast)
+{
+	for (uint64_t i = 0; i < 3; i++, now_us += 25 * kSecond) {
+		a.Break({1, 100 + i}, i, false);
+		EXPECT_EQ(poison_confirm(&a.p, i), 2u);
+		EXPECT_EQ(poison_confirm(&a.p, i), 0u);
+	}
+	EXPECT_TRUE(a.Blocks({1, 200}));
+	now_us += 30 * kSecond;
+	EXPECT_TRUE(a.Blocks({1, 200}));
+}
+
+TEST_F(Poison, ABlockEndsAndTheNextBreakRenewsItForLonger)
+{
+	for (uint64_t i = 0; i < 3; i++, now_us += kSecond)
+		a.Break({1, 100 + i}, i);
+	now_us += 60 * kSecond;
+	EXPECT_FALSE(a.Blocks({1, 200}));
+	a.Break({1, 200}, 10);
+	now_us += 100 * kSecond;
+	EXPECT_TRUE(a.Blocks({1, 201}));
+	now_us += 30 * kSecond;
+	EXPECT_FALSE(a.Blocks({1, 201}));
+}
+
+TEST_F(Poison, HostsAddUpTheirBreaks)
+{
+	for (uint64_t i = 0; i < 3; i++, now_us += kSecond) {
+		Host &h = i % 2 ? a : b;
+
+		h.Break({1, 100 + i}, i);
+		h.Tell(i % 2 ? b : a);
+	}
+	EXPECT_TRUE(a.Blocks({1, 200}));
+	EXPECT_TRUE(b.Blocks({1, 200}));
+}
+
+/* Two hosts see the same crash. */
+TEST_F(Poison, OneEndpointCountsOnceOverAllHosts)
+{
+	for (uint64_t i = 0; i < 2; i++, now_us += kSecond) {
+		a.Break({1, 100 + i}, i);
+		b.Break({1, 200 + i}, i);
+		a.Tell(b);
+		b.Tell(a);
+	}
+	EXPECT_FALSE(a.Blocks({1, 300}));
+	EXPECT_FALSE(b.Blocks({1, 300}));
+}
+
+/* Guards against hosts that start later and learn by crashes of their own. */
+TEST_F(Poison, ANewHostLearnsWhatIsBlocked)
+{
+	for (uint64_t i = 0; i < 3; i++, now_us += kSecond)
+		a.Break({7, 1, 100 + i}, i);
+	now_us += 10 * kSecond;
+	a.Tell(b);
+	EXPECT_TRUE(b.Blocks({1, 200}));
+	EXPECT_FALSE(b.Blocks({7, 200}));
+	now_us += 50 * kSecond;
+	EXPECT_FALSE(b.Blocks({1, 200}));
+}
+
+TEST_F(Poison, RepeatedAndLateMessagesDoNotUndoAnAcquittal)
+{
+	Host late(now_us);
+
+	for (uint64_t i = 0; i < 3; i++, now_us += kSecond)
+		a.Break({1, 100 + i}, i);
+	a.Tell(late);
+	now_us += kSecond;
+	a.Tell(b);
+	b.Answer({1, 200});
+	for (int i = 0; i < 3; i++) {
+		late.Tell(b);
+		b.Tell(a);
+		a.Tell(b);
+	}
+	EXPECT_FALSE(a.Blocks({1, 300}));
+	EXPECT_FALSE(b.Blocks({1, 300}));
+	b.Tell(late);
+	EXPECT_FALSE(late.Blocks({1, 300}));
+}
+
+/* Each host passes on what it heard; the ages are rounded. */
+TEST_F(Poison, MessagesDoNotProlongABlock)
+{
+	for (uint64_t i = 0; i < 3; i++, now_us += kSecond)
+		a.Break({1, 100 + i}, i);
+	for (int i = 0; i < 600; i++, now_us += kSecond / 10) {
+		a.Tell(b);
+		b.Tell(a);
+	}
+	EXPECT_FALSE(a.Blocks({1, 200}));
+	EXPECT_FALSE(b.Blocks({1, 200}));
+}
+
+TEST_F(Poison, AFullTableForgetsTheOldestKeys)
+{
+	for (uint64_t i = 1; i <= POISON_ENTRIES_MAX; i++, now_us++)
+		a.Break({i}, i);
+	for (uint64_t i = 0; i < 3; i++, now_us += kSecond)
+		a.Break({1000}, 1000 + i);
+	EXPECT_TRUE(a.Blocks({1000}));
+}
+
+TEST_F(Poison, TakesAnyReport)
+{
+	struct poison_report r = {};
+
+	EXPECT_FALSE(poison_merge(&a.p, &r, now_us));
+	r.key = 1;
+	r.acquitted_ms = r.blocked_ms = r.blocks = r.n_breaks = UINT32_MAX;
+	for (uint32_t i = 0; i < POISON_BREAKS; i++)
+		r.brk[i] = {i + 1ULL, i * 1000, UINT32_MAX, true};
+	EXPECT_TRUE(poison_merge(&a.p, &r, now_us));
+	now_us += 601 * kSecond;
+	EXPECT_FALSE(a.Blocks({1}));
+}
+
+} // namespace
--- a/pkg/stats/stats.h
+++ b/pkg/stats/stats.h
@@ -56,7 +56,7 @@
 	X(RESPONSES_MISMATCHED, "answers_foreign",                             \
 	  "answers of another request, skipped")                               \
 	X(CRASH_SUSPECTS, "crash_suspects",                                    \
-	  "runs that were at an endpoint as it crashed")                       \
+	  "connections that broke before the answer had begun")                \
 	X(STORE_CALLS, "store_calls", "calls to the store")                    \
 	X(STORE_FAILURES, "store_failures", "calls to the store that failed")  \
 	X(CONNECTS, "connects", "connections opened to endpoints")             \
--- a/pkg/wire/fig_msg.x
+++ b/pkg/wire/fig_msg.x
@@ -25,7 +25,8 @@
 	FIG_SHARE = 17,
 	FIG_RECORDS_GET = 18,
 	FIG_ROWS = 19,
-	FIG_DIGEST = 20
+	FIG_DIGEST = 20,
+	FIG_SUSPECTS = 21
 };
 
 /* Once an interval to hosts of the domain, over UDP; no reply. */
@@ -81,6 +82,31 @@
 	fig_crashed crashed<FIG_CRASHES_MAX>;
 };
 
+const FIG_SUSPECTS_MAX = 64;
+const FIG_BREAKS_MAX = 8;
+
+/* A connection that broke at an endpoint before the answer had begun. */
+struct fig_break {
+	unsigned hyper endpoint; /* hash of its id and start */
+	unsigned int age_ms;
+	unsigned int took_ms; /* from the send to the break */
+	bool confirmed; /* the endpoint crashed */
+};
+
+/* What the sender knows of a request or of a part of prompts; see poison.h. */
+struct fig_suspect {
+	unsigned hyper key;
+	unsigned int acquitted_ms; /* age of the acquittal; all ones: none */
+	unsigned int blocked_ms; /* that the block has left, 0 if none */
+	unsigned int blocks;
+	fig_break brk<FIG_BREAKS_MAX>;
+};
+
+/* Over UDP, when an entry changes and now and then to a few hosts; no reply. */
+struct fig_suspects {
+	fig_suspect suspect<FIG_SUSPECTS_MAX>;
+};
+
 const FIG_ROOMS_MAX = 64;
 const FIG_GRANTS_MAX = 4096;
 
@@ -323,6 +349,8 @@
 	fig_rows rows;
 case FIG_DIGEST:
 	fig_digest digest;
+case FIG_SUSPECTS:
+	fig_suspects suspects;
 };
 
 union fig_reply switch (fig_kind kind) {
@@ -354,6 +382,8 @@
 	void;
 case FIG_DIGEST:
 	void;
+case FIG_SUSPECTS:
+	void;
 };
 
 /* What stands behind the RPC header: who sent it, and proof that it belongs. */
--- a/pkg/wire/gen/fig_msg.h
+++ b/pkg/wire/gen/fig_msg.h
@@ -34,6 +34,7 @@
 	FIG_RECORDS_GET = 18,
 	FIG_ROWS = 19,
 	FIG_DIGEST = 20,
+	FIG_SUSPECTS = 21,
 };
 typedef enum fig_kind fig_kind;
 
@@ -95,6 +96,36 @@
 	} crashed;
 };
 typedef struct fig_crash fig_crash;
+#define FIG_SUSPECTS_MAX 64
+#define FIG_BREAKS_MAX 8
+
+struct fig_break {
+	u_quad_t endpoint;
+	u_int age_ms;
+	u_int took_ms;
+	bool_t confirmed;
+};
+typedef struct fig_break fig_break;
+
+struct fig_suspect {
+	u_quad_t key;
+	u_int acquitted_ms;
+	u_int blocked_ms;
+	u_int blocks;
+	struct {
+		u_int brk_len;
+		fig_break *brk_val;
+	} brk;
+};
+typedef struct fig_suspect fig_suspect;
+
+struct fig_suspects {
+	struct {
+		u_int suspect_len;
+		fig_suspect *suspect_val;
+	} suspect;
+};
+typedef struct fig_suspects fig_suspects;
 #define FIG_ROOMS_MAX 64
 #define FIG_GRANTS_MAX 4096
 
@@ -371,6 +402,7 @@
 		fig_records_get records_get;
 		fig_rows rows;
 		fig_digest digest;
+		fig_suspects suspects;
 	} fig_call_u;
 };
 typedef struct fig_call fig_call;
@@ -434,6 +466,9 @@
 extern  bool_t xdr_fig_heard_got (XDR *, fig_heard_got*);
 extern  bool_t xdr_fig_crashed (XDR *, fig_crashed*);
 extern  bool_t xdr_fig_crash (XDR *, fig_crash*);
+extern  bool_t xdr_fig_break (XDR *, fig_break*);
+extern  bool_t xdr_fig_suspect (XDR *, fig_suspect*);
+extern  bool_t xdr_fig_suspects (XDR *, fig_suspects*);
 extern  bool_t xdr_fig_need (XDR *, fig_need*);
 extern  bool_t xdr_fig_grant (XDR *, fig_grant*);
 extern  bool_t xdr_fig_room (XDR *, fig_room*);
@@ -474,6 +509,9 @@
 extern bool_t xdr_fig_heard_got ();
 extern bool_t xdr_fig_crashed ();
 extern bool_t xdr_fig_crash ();
+extern bool_t xdr_fig_break ();
+extern bool_t xdr_fig_suspect ();
+extern bool_t xdr_fig_suspects ();
 extern bool_t xdr_fig_need ();
 extern bool_t xdr_fig_grant ();
 extern bool_t xdr_fig_room ();
--- a/pkg/wire/gen/fig_msg_xdr.c
+++ b/pkg/wire/gen/fig_msg_xdr.c
@@ -136,6 +136,97 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fig_break (XDR *xdrs, fig_break *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->endpoint))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->took_ms))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->confirmed))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fig_suspect (XDR *xdrs, fig_suspect *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->key))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->acquitted_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->blocked_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->blocks))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->acquitted_ms);
+		IXDR_PUT_U_LONG(buf, objp->blocked_ms);
+		IXDR_PUT_U_LONG(buf, objp->blocks);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->brk.brk_val, (u_int *) &objp->brk.brk_len, FIG_BREAKS_MAX,
+			sizeof (fig_break), (xdrproc_t) xdr_fig_break))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->key))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->acquitted_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->blocked_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->blocks))
+				 return FALSE;
+
+		} else {
+		objp->acquitted_ms = IXDR_GET_U_LONG(buf);
+		objp->blocked_ms = IXDR_GET_U_LONG(buf);
+		objp->blocks = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->brk.brk_val, (u_int *) &objp->brk.brk_len, FIG_BREAKS_MAX,
+			sizeof (fig_break), (xdrproc_t) xdr_fig_break))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_u_quad_t (xdrs, &objp->key))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->acquitted_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->blocked_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->blocks))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->brk.brk_val, (u_int *) &objp->brk.brk_len, FIG_BREAKS_MAX,
+		sizeof (fig_break), (xdrproc_t) xdr_fig_break))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fig_suspects (XDR *xdrs, fig_suspects *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->suspect.suspect_val, (u_int *) &objp->suspect.suspect_len, FIG_SUSPECTS_MAX,
+		sizeof (fig_suspect), (xdrproc_t) xdr_fig_suspect))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fig_need (XDR *xdrs, fig_need *objp)
 {
@@ -793,6 +884,10 @@
 		 if (!xdr_fig_digest (xdrs, &objp->fig_call_u.digest))
 			 return FALSE;
 		break;
+	case FIG_SUSPECTS:
+		 if (!xdr_fig_suspects (xdrs, &objp->fig_call_u.suspects))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
@@ -851,6 +946,8 @@
 		break;
 	case FIG_DIGEST:
 		break;
+	case FIG_SUSPECTS:
+		break;
 	default:
 		return FALSE;
 	}
