--- a/cmd/figbend/gateway/plain.c
+++ b/cmd/figbend/gateway/plain.c
@@ -34,9 +34,7 @@
 			r->endpoint->entry.id, response.request_id);
 		return H1_DISCARD;
 	}
-	if (response.has_load)
-		fleet_record_load(r->endpoint, response.running,
-				  response.waiting, gateway_now_us(r->g));
+	req_record_word(r, r->endpoint, &response);
 	r->status = h->status;
 	r->not_executed = response.not_executed;
 	r->has_signature = response.signature && !response.encoded;
--- a/pkg/call/call.h
+++ b/pkg/call/call.h
@@ -83,6 +83,9 @@
 	uint32_t running;  /* requests being executed */
 	uint32_t waiting;  /* requests in the endpoint's queue */
 	uint32_t slots;	   /* requests that can run at once */
+	/* Requests a second that the endpoint takes from all hosts together, in
+	 * thousandths; 0 if it names no limit. */
+	uint32_t limit_milli_per_s;
 };
 
 #endif
--- a/pkg/fleet/fleet.c
+++ b/pkg/fleet/fleet.c
@@ -292,3 +292,15 @@
 	e->load_waiting = waiting;
 	e->load_us = now_us;
 }
+
+bool fleet_record_limit(struct fleet_endpoint *e, uint32_t limit_milli_per_s,
+			int64_t at_us)
+{
+	bool changed = e->limit_milli_per_s != limit_milli_per_s;
+
+	if (at_us <= e->limit_us || (!e->limit_us && !limit_milli_per_s))
+		return false;
+	e->limit_milli_per_s = limit_milli_per_s;
+	e->limit_us = at_us;
+	return changed;
+}
--- a/pkg/fleet/fleet.h
+++ b/pkg/fleet/fleet.h
@@ -91,6 +91,10 @@
 	uint32_t cold_requests;
 	uint32_t cold_allowance;
 	uint32_t probes; /* probe requests in flight */
+	/* Requests a second that the endpoint takes from all hosts together, in
+	 * thousandths, as it said last; 0 for no limit. */
+	uint32_t limit_milli_per_s;
+	int64_t limit_us; /* when it said so, 0 if it never named a limit */
 };
 
 TAILQ_HEAD(fleet_endpoints, fleet_endpoint);
@@ -227,6 +231,13 @@
 void fleet_record_load(struct fleet_endpoint *e, uint32_t running,
 		       uint32_t waiting, int64_t now_us);
 
+/*
+ * Records the limit that the endpoint named in an answer at the given time, 0 if
+ * it named none; older words are ignored. Returns true if the limit changed.
+ */
+bool fleet_record_limit(struct fleet_endpoint *e, uint32_t limit_milli_per_s,
+			int64_t at_us);
+
 /* Adds a reference and returns e. */
 struct fleet_endpoint *fleet_ref(struct fleet_endpoint *e);
 /* Drops a reference; the last one frees the endpoint. e may be NULL. */
