pools: show endpoints that get more than the limit they name, known red

A plain endpoint and a prefill endpoint that name 1.2 requests a second get 40 in 4 s from two hosts; 12 are allowed.

--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -633,6 +633,64 @@
     assert sum(e.crashes for e in decode_endpoints(d)) == crashes
 
 
+def most_calls(times, window_s):
+    """Returns the most calls within any window of that length."""
+    return max((sum(a <= t < a + window_s for t in times) for a in times),
+               default=0)
+
+
+async def send_for(d, seconds, route, tokens=None):
+    """Sends 20 requests a second, to each host in turn; all must succeed."""
+    tasks = []
+    for i in range(int(seconds * 20)):
+        tasks.append(asyncio.ensure_future(
+            d.request(route, host=i % len(d.hosts), tokens=tokens)))
+        await asyncio.sleep(0.05)
+    statuses = [(await t)[1].status for t in tasks]
+    assert statuses == [200] * len(statuses), statuses
+
+
+LIMIT = 1.2
+LIMIT_WINDOW_S = 4
+
+
+async def check_limit(d, limited, route, tokens=None):
+    """An endpoint gets no more than half over its limit, and five requests, and
+    is used again once it no longer names a limit."""
+    for e in limited:
+        e.limit = LIMIT
+    await send_for(d, 2, route, tokens)
+    named = time.monotonic()
+    await send_for(d, 8, route, tokens)
+    for e in limited:
+        most = most_calls([t for t in e.call_times if t >= named],
+                          LIMIT_WINDOW_S)
+        assert most <= 1.5 * LIMIT * LIMIT_WINDOW_S + 5, (e.name, most)
+        assert e.call_times[-1] > named, f"{e.name} is not used"
+        e.limit = None
+    await send_for(d, 8, route, tokens)
+    ended = time.monotonic()
+    await send_for(d, 2, route, tokens)
+    for e in limited:
+        n = sum(t >= ended for t in e.call_times)
+        assert n > 2 * 2 * LIMIT, f"{e.name} got only {n} requests"
+
+
+async def test_keeps_to_the_limit_of_a_plain_endpoint(d):
+    """Guards against more requests from all hosts together than an endpoint
+    takes by its own word."""
+    await start_small(d)
+    await check_limit(d, plain_endpoints(d)[:1], "idempotent")
+
+
+async def test_keeps_to_the_limits_of_model_endpoints(d):
+    """The same at the prefill and decode stages, where reservations count."""
+    await start_with_decoders(d, 4)
+    await d.add_endpoint("model", "b", "prefill")
+    limited = [d.endpoints[0]] + decode_endpoints(d)[:2]
+    await check_limit(d, limited, "resumable", (300, 16))
+
+
 async def test_isolated_host_hands_callers_to_other_hosts(d):
     """Guards against needless refusals: a host in an isolated failure domain,
     which could reach no plain endpoint, refused requests that other domains
--- a/test/pools/standins.py
+++ b/test/pools/standins.py
@@ -218,6 +218,8 @@
         self.work_s, self.event_interval_s = work_s, event_interval_s
         self.started_ms = 1700000000000
         self.faults = []
+        self.limit = None  # named in all responses, in requests a second
+        self.call_times = []  # of all requests, control calls included
         self.received = []  # (request id, headers, target, body, fault)
         self.executed = []  # ids of requests whose execution started
         self.completed = []  # ids of requests with a complete response
@@ -225,6 +227,13 @@
         self.handles = {}  # prefill handle: request id
         self.running = {}  # request id: KV tokens
 
+    def http_response(self, status, body=b"", fields=None):
+        return http_response(status, body,
+                             {**(fields or {}), **self.limit_fields()})
+
+    def limit_fields(self):
+        return {} if self.limit is None else {"Server-Limit": str(self.limit)}
+
     def entry(self, state="ready", **more):
         e = {"Service": self.service, "Address": self.addr,
              "Zone": self.domain, "Version": "v1", "Slots": self.slots,
@@ -247,31 +256,32 @@
         return self.faults.pop(0) if self.faults else None
 
     async def handle(self, reader, writer, method, target, headers, body):
+        self.call_times.append(time.monotonic())
         expected = headers.get("expected-instance")
         if expected and expected != self.name:
-            writer.write(http_response(421, b"", {"Instance-Id": self.name}))
+            writer.write(self.http_response(421, b"", {"Instance-Id": self.name}))
             return True
         if target == "/figbend/hold-take":
             return self.reserve(writer, json.loads(body))
         if target.startswith("/figbend/hold-drop/"):
             self.reservations.pop(target.rsplit("/", 1)[1], None)
-            writer.write(http_response(200))
+            writer.write(self.http_response(200))
             return True
         if target.startswith("/figbend/kv-handle/"):
             self.handles.pop(target.rsplit("/", 1)[1], None)
-            writer.write(http_response(200))
+            writer.write(self.http_response(200))
             return True
         return await self.execute(reader, writer, target, headers, body)
 
     def reserve(self, writer, request):
         if self.used_tokens() + request["TokenCount"] > self.kv_capacity_tokens:
-            writer.write(http_response(503, b"", {"Not-Executed": "1"}))
+            writer.write(self.http_response(503, b"", {"Not-Executed": "1"}))
             return True
         reservation = "%016x" % random.getrandbits(64)
         self.reservations[reservation] = (
             request["TokenCount"],
             time.monotonic() + request["TtlMs"] / 1000)
-        writer.write(http_response(
+        writer.write(self.http_response(
             200, json.dumps({"Hold": reservation}).encode()))
         return True
 
@@ -283,7 +293,7 @@
                     "Instance-Signature": f"{self.name}.{rid}",
                     "Instance-Load": f"{len(self.running)},0,{self.slots}"}
         if fault == "overloaded" or len(self.running) >= self.slots:
-            writer.write(http_response(503, b"", {"Not-Executed": "1",
+            writer.write(self.http_response(503, b"", {"Not-Executed": "1",
                                                   "Attempt-Id": rid}))
             return True
         if fault == "hang":
@@ -305,12 +315,12 @@
             handle = "%012x" % random.getrandbits(48)
             if fault != "handle_missing":
                 self.handles[handle] = rid
-            writer.write(http_response(200, json.dumps(
+            writer.write(self.http_response(200, json.dumps(
                 {"KvHandle": handle, "TokenCount": 1, "Version": 1}).encode(),
                 {"Attempt-Id": rid}))
             return True
         if "kv-source" in headers and not self.import_prefill(headers, rid):
-            writer.write(http_response(503, b"", {"Not-Executed": "1",
+            writer.write(self.http_response(503, b"", {"Not-Executed": "1",
                                                   "Attempt-Id": rid}))
             return True
         self.reservations.pop(headers.get("kv-hold", ""), None)
@@ -381,16 +391,16 @@
             await self.send_endlessly(writer, *self.ENDLESS[fault])
             return False
         if fault == "truncate":
-            writer.write(http_response(200, body, identity)[:-3])
+            writer.write(self.http_response(200, body, identity)[:-3])
             return False
         if fault == "unsigned":
-            writer.write(http_response(200, body))
+            writer.write(self.http_response(200, body))
             return True
         if fault == "wrong_id":
             other = dict(identity)
             other["Attempt-Id"] = "0" * 16
-            writer.write(http_response(200, b"answer to another", other))
-        writer.write(http_response(200, body, identity))
+            writer.write(self.http_response(200, b"answer to another", other))
+        writer.write(self.http_response(200, body, identity))
         if fault == "extra_response":
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra")
         self.completed.append(rid)
@@ -408,8 +418,8 @@
                           "Content-Type: text/event-stream\r\n"
                           "Transfer-Encoding: chunked\r\n"
                           "Connection: close\r\n" +
-                          "".join(f"{k}: {v}\r\n"
-                                  for k, v in identity.items()) +
+                          "".join(f"{k}: {v}\r\n" for k, v in
+                                  {**identity, **self.limit_fields()}.items()) +
                           "\r\n").encode())
             if fault == "only_comment":
                 writer.write(b"5\r\n: k\n\n\r\n0\r\n\r\n")
