fleet: keep to the limit that an endpoint names

Cause: nothing read the header, and each run came with a reservation, which counts too. Change: an endpoint's last word on its limit is kept with its start; each host uses its part of the rate, drawn at random if that is less than one a second, with what the window before left over; no reservations are made there. The rate of cold endpoints and the limit share the code.

--- a/cmd/figbend/gateway/pools.c
+++ b/cmd/figbend/gateway/pools.c
@@ -721,7 +721,8 @@
 	r->counted_tokens = query.kv_tokens;
 	r->counted = true;
 	fleet_request_start(e, query.kv_tokens, 0);
-	if (r->service->engine.reservation_max_ms)
+	/* A reservation counts against an endpoint's limit like a request. */
+	if (r->service->engine.reservation_max_ms && !fleet_is_limited(e))
 		start_reserve(r);
 	else
 		start_prefill(r);
--- a/pkg/fleet/choose.c
+++ b/pkg/fleet/choose.c
@@ -24,10 +24,12 @@
 /* Prompt tokens in flight at which a prefill endpoint counts as fully loaded. */
 #define PREFILL_FULL_TOKENS 10000.0
 
-#define COLD_WINDOW_US 1000000LL
+#define RATE_WINDOW_US 1000000LL
 /* Part of the rate that is used if hosts draw their requests at random: then a
- * window may have more of them than the average. */
+ * window may have more of them than the average. A limit is an average over some
+ * seconds, a warm-up rate binds in each second. */
 #define COLD_SPREAD 0.6
+#define LIMIT_SPREAD 0.75
 
 /* Returns a number in [0, 1) from a linear congruential generator. */
 static double random_fraction(struct fleet *f)
@@ -57,33 +59,64 @@
 /*
  * Returns how many requests this host may send to an endpoint in a window, so
  * that all hosts together stay within rate_per_s. A share of less than one
- * request is one request in some windows.
+ * request is one request in some windows; then the spread part of the rate is
+ * used.
  */
-static uint32_t draw_allowance(struct fleet *f, double rate_per_s)
+static uint32_t draw_allowance(struct fleet *f, double rate_per_s,
+			       double spread)
 {
 	double share = rate_per_s / (f->hosts ? f->hosts : 1);
 	double whole = floor(share);
 
 	if (share < 1)
-		share *= COLD_SPREAD;
+		share *= spread;
 	return (uint32_t)whole + (random_fraction(f) < share - whole);
 }
 
 /*
- * Returns true if the endpoint is warming up and this host has used its share of
- * the rate limit in the present one-second window.
+ * Returns what the window before left over for the present one: at most what was
+ * drawn in it, so that no request is put off for longer than a window.
  */
-static bool cold_limit_reached(struct fleet *f, const struct fleet_query *q,
-			       struct fleet_endpoint *e, int64_t now_us)
+static uint32_t left_over(const struct fleet_rate *r, int64_t now_us)
 {
-	if (now_us >= e->cold_until_us || q->cold_requests_per_s <= 0)
-		return false;
-	if (now_us - e->cold_window_us >= COLD_WINDOW_US) {
-		e->cold_window_us = now_us;
-		e->cold_requests = 0;
-		e->cold_allowance = draw_allowance(f, q->cold_requests_per_s);
+	uint32_t left = r->allowance > r->sent ? r->allowance - r->sent : 0;
+
+	if (now_us - r->window_us >= 2 * RATE_WINDOW_US)
+		return 0;
+	return left < r->drawn ? left : r->drawn;
+}
+
+/*
+ * Returns true if this host has used its share of a rate in this window. carries
+ * tells whether a share may be used in the next window too.
+ */
+static bool rate_exhausted(struct fleet *f, struct fleet_rate *r,
+			   double rate_per_s, double spread, bool carries,
+			   int64_t now_us)
+{
+	uint32_t left;
+
+	if (now_us - r->window_us >= RATE_WINDOW_US) {
+		left = carries ? left_over(r, now_us) : 0;
+		r->window_us = now_us;
+		r->sent = 0;
+		r->drawn = draw_allowance(f, rate_per_s, spread);
+		r->allowance = r->drawn + left;
 	}
-	return e->cold_requests >= e->cold_allowance;
+	return r->sent >= r->allowance;
+}
+
+/* Returns true if the endpoint may get no further request in this window. */
+static bool rate_limit_reached(struct fleet *f, const struct fleet_query *q,
+			       struct fleet_endpoint *e, int64_t now_us)
+{
+	if (now_us < e->cold_until_us && q->cold_requests_per_s > 0 &&
+	    rate_exhausted(f, &e->cold_rate, q->cold_requests_per_s,
+			   COLD_SPREAD, false, now_us))
+		return true;
+	return fleet_is_limited(e) &&
+	       rate_exhausted(f, &e->limit_rate, e->limit_milli_per_s / 1000.,
+			      LIMIT_SPREAD, true, now_us);
 }
 
 /*
@@ -136,7 +169,7 @@
 {
 	if (now_us < e->ejected_until_us || (e->ejected_until_us && e->probes))
 		return FLEET_ALL_EJECTED;
-	if (now_us < e->full_until_us || cold_limit_reached(f, q, e, now_us))
+	if (now_us < e->full_until_us || rate_limit_reached(f, q, e, now_us))
 		return FLEET_ALL_FULL;
 	if (q->kv_tokens && fleet_free_tokens(e, q->kv_capacity_tokens) <
 				    (int64_t)q->kv_tokens + q->headroom_tokens)
--- a/pkg/fleet/fleet.c
+++ b/pkg/fleet/fleet.c
@@ -18,6 +18,8 @@
 /* Weights of the newest value in the exponential averages. */
 #define FAILURE_RATE_WEIGHT 0.15
 #define LATENCY_WEIGHT 0.2
+/* Lowest limit of an endpoint that is kept: its answers tell when it ends. */
+#define LIMIT_MIN_MILLI 100
 
 void fleet_init(struct fleet *f, const char *domain, uint64_t seed)
 {
@@ -179,7 +181,8 @@
 
 static void count_sent(struct fleet_endpoint *e)
 {
-	e->cold_requests++;
+	e->cold_rate.sent++;
+	e->limit_rate.sent++;
 	if (e->ejected_until_us)
 		e->probes++;
 }
@@ -300,7 +303,15 @@
 
 	if (at_us <= e->limit_us || (!e->limit_us && !limit_milli_per_s))
 		return false;
-	e->limit_milli_per_s = limit_milli_per_s;
+	e->limit_milli_per_s = limit_milli_per_s && limit_milli_per_s <
+							    LIMIT_MIN_MILLI
+				       ? LIMIT_MIN_MILLI
+				       : limit_milli_per_s;
 	e->limit_us = at_us;
 	return changed;
 }
+
+bool fleet_is_limited(const struct fleet_endpoint *e)
+{
+	return e->limit_milli_per_s != 0;
+}
--- a/pkg/fleet/fleet.h
+++ b/pkg/fleet/fleet.h
@@ -52,6 +52,17 @@
 	FLEET_MISDIRECTED, /* another endpoint has the address (HTTP 421) */
 };
 
+/*
+ * This host's share of a rate limit that all hosts keep to together, by windows
+ * of one second.
+ */
+struct fleet_rate {
+	int64_t window_us;  /* start of the present window */
+	uint32_t sent;	    /* requests sent in it */
+	uint32_t drawn;	    /* this window's share */
+	uint32_t allowance; /* the share and what is left of the one before */
+};
+
 struct fleet_endpoint {
 	TAILQ_ENTRY(fleet_endpoint) link;
 	uint32_t refs;
@@ -85,16 +96,13 @@
 	double failure_rate;   /* exponential average, 0 to 1 */
 	double latency_us;     /* exponential average, 0 if unknown */
 	int64_t cold_until_us; /* end of the warm-up */
-	/* Start of the present one-second window, requests sent in it, and how
-	 * many this host may send. */
-	int64_t cold_window_us;
-	uint32_t cold_requests;
-	uint32_t cold_allowance;
+	struct fleet_rate cold_rate;
 	uint32_t probes; /* probe requests in flight */
 	/* Requests a second that the endpoint takes from all hosts together, in
 	 * thousandths, as it said last; 0 for no limit. */
 	uint32_t limit_milli_per_s;
 	int64_t limit_us; /* when it said so, 0 if it never named a limit */
+	struct fleet_rate limit_rate;
 };
 
 TAILQ_HEAD(fleet_endpoints, fleet_endpoint);
@@ -113,8 +121,7 @@
 	struct fleet_domains withdrawn;	    /* by operators */
 	struct fleet_domains unreachable;   /* no host there is reachable */
 	char local_domain[CALL_NAME_BYTES]; /* this host's domain */
-	/* Hosts that share the rate limit of an endpoint that is warming up,
-	 * including this one. */
+	/* Hosts that share the rate limit of an endpoint, including this one. */
 	uint32_t hosts;
 	uint64_t random; /* state of the random generator */
 };
@@ -144,7 +151,7 @@
 	 * query excludes. */
 	FLEET_NO_ENDPOINT,
 	FLEET_ALL_EJECTED,
-	FLEET_ALL_FULL, /* no capacity, or the warm-up limit is reached */
+	FLEET_ALL_FULL, /* no capacity, or a rate limit is reached */
 };
 
 /*
@@ -225,6 +232,8 @@
  */
 void fleet_record_outcome(struct fleet_endpoint *e, enum fleet_outcome outcome,
 			  int64_t took_us, int64_t now_us);
+/* Returns true if the endpoint's last word named a limit. */
+bool fleet_is_limited(const struct fleet_endpoint *e);
 /* The endpoint had capacity for a request: refusals before do not count. */
 void fleet_record_capacity(struct fleet_endpoint *e);
 /* Records the load that the endpoint reported in a response. */
--- a/pkg/fleet/test/fleet_test.cc
+++ b/pkg/fleet/test/fleet_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <numeric>
 #include <string>
 #include <vector>
 
@@ -223,34 +224,37 @@
 	EXPECT_EQ(fleet_free_tokens(a, 1000), 1000);
 }
 
+constexpr int STEPS_PER_S = 100;
+
 /*
- * An endpoint that warms up, among 295 hosts that all have work for it: together
- * they stay within its rate of 10 requests per second (times 1.5, and 5), and
- * use most of it. Guards against a share of less than one request per second
- * that was rounded up for each host, and against prefills that did not count.
+ * Hosts that all have work for one endpoint for some seconds. Returns how many
+ * requests it got in each hundredth of a second. The endpoint names a limit, or
+ * warms up, at rate_per_s over all hosts.
  */
-static void simulate_cold_endpoint(enum fleet_stage stage)
+static std::vector<int> simulate_hosts(enum fleet_stage stage, int hosts,
+				       double rate_per_s, bool limited,
+				       int seconds)
 {
-	static constexpr int HOSTS = 295, S = 20;
-	static constexpr double RATE = 10;
-	std::vector<struct fleet> host(HOSTS);
-	std::vector<int> sent(S * 100);
-	int most = 0, all = 0;
+	std::vector<struct fleet> host(hosts);
+	std::vector<int> sent(seconds * STEPS_PER_S);
 
-	for (int i = 0; i < HOSTS; i++) {
+	for (int i = 0; i < hosts; i++) {
 		struct fleet_entry e = {};
+		struct fleet_endpoint *added;
 
 		fleet_init(&host[i], "d1", (uint64_t)i * 7919);
-		host[i].hosts = HOSTS;
-		snprintf(e.id, sizeof(e.id), "cold");
+		host[i].hosts = hosts;
+		snprintf(e.id, sizeof(e.id), "e");
 		snprintf(e.service, sizeof(e.service), "s");
 		e.stage = stage;
 		e.slots = 6;
-		e.cold_remaining_ms = 60000;
-		fleet_upsert(&host[i], &e, 1, 1);
+		e.cold_remaining_ms = limited ? 0 : 60000;
+		added = fleet_upsert(&host[i], &e, 1, 1);
+		if (limited)
+			fleet_record_limit(added, rate_per_s * 1000, 1000000);
 	}
-	for (int t = 0; t < S * 100; t++) {
-		for (int i = 0; i < HOSTS; i++) {
+	for (int t = 0; t < seconds * STEPS_PER_S; t++) {
+		for (int i = 0; i < hosts; i++) {
 			struct fleet_query q = {};
 			enum fleet_result result;
 			struct fleet_endpoint *e;
@@ -260,7 +264,7 @@
 				continue;
 			q.service = "s";
 			q.stage = stage;
-			q.cold_requests_per_s = RATE;
+			q.cold_requests_per_s = limited ? 0 : rate_per_s;
 			e = fleet_choose(&host[i], &q, now_us, &result);
 			if (!e)
 				continue;
@@ -274,19 +278,77 @@
 			sent[t]++;
 		}
 	}
-	for (int t = 0; t < S * 100; t++) {
-		int window = 0;
+	for (auto &f : host)
+		fleet_finish(&f);
+	return sent;
+}
 
-		all += sent[t];
-		for (int k = t; k < std::min(S * 100, t + 100); k++)
-			window += sent[k];
+/* Returns the most requests within any window of so many seconds. */
+static int most_within(const std::vector<int> &sent, int seconds)
+{
+	int most = 0, window = 0;
+	size_t n = (size_t)seconds * STEPS_PER_S;
+
+	for (size_t t = 0; t < sent.size(); t++) {
+		window += sent[t] - (t >= n ? sent[t - n] : 0);
 		most = std::max(most, window);
 	}
-	printf("most in a second %d, on average %.1f\n", most, (double)all / S);
-	EXPECT_LE(most, RATE * 1.5 + 5);
-	EXPECT_GE((double)all / S, RATE / 2);
-	for (auto &f : host)
-		fleet_finish(&f);
+	return most;
+}
+
+static double per_second(const std::vector<int> &sent)
+{
+	return std::accumulate(sent.begin(), sent.end(), 0.) * STEPS_PER_S /
+	       (double)sent.size();
+}
+
+/*
+ * An endpoint that warms up, among 295 hosts that all have work for it: together
+ * they stay within its rate of 10 requests per second (times 1.5, and 5), and
+ * use most of it. Guards against a share of less than one request per second
+ * that was rounded up for each host, and against prefills that did not count.
+ */
+static void simulate_cold_endpoint(enum fleet_stage stage)
+{
+	std::vector<int> sent = simulate_hosts(stage, 295, 10, false, 20);
+
+	printf("most in a second %d, on average %.1f\n", most_within(sent, 1),
+	       per_second(sent));
+	EXPECT_LE(most_within(sent, 1), 10 * 1.5 + 5);
+	EXPECT_GE(per_second(sent), 10 / 2.);
+}
+
+/*
+ * Guards against more requests from all hosts together than an endpoint takes by
+ * its own word: in 4 s, once and a half its limit, and 5.
+ */
+TEST_F(Fleet, AllHostsTogetherKeepToTheLimitOfAnEndpoint)
+{
+	for (int hosts : {2, 8, 65, 295})
+		for (double limit : {1., 2.5, 20., 400.}) {
+			std::vector<int> sent = simulate_hosts(
+				FLEET_DECODE, hosts, limit, true, 60);
+
+			EXPECT_LE(most_within(sent, 4), 4 * 1.5 * limit + 5)
+				<< hosts << " hosts, " << limit;
+			EXPECT_GE(per_second(sent),
+				  std::min(limit / 2, hosts * 2.))
+				<< hosts << " hosts, " << limit;
+		}
+}
+
+TEST_F(Fleet, ALimitEndsByTheEndpointsWord)
+{
+	struct fleet_endpoint *e = upsert("a", "d1", FLEET_PLAIN);
+
+	EXPECT_FALSE(fleet_record_limit(e, 0, now_us));
+	EXPECT_TRUE(fleet_record_limit(e, 1, now_us + 1));
+	EXPECT_TRUE(fleet_is_limited(e));
+	EXPECT_FALSE(fleet_record_limit(e, 0, now_us)) << "older word";
+	EXPECT_TRUE(fleet_is_limited(e));
+	EXPECT_EQ(e->limit_milli_per_s, 100u) << "bounded";
+	EXPECT_TRUE(fleet_record_limit(e, 0, now_us + 2));
+	EXPECT_FALSE(fleet_is_limited(e));
 }
 
 TEST_F(Fleet, HundredsOfHostsShareTheRateOfAColdEndpoint)
