poison: keep what is blocked when the table is full

What callers saw: nothing yet; seen in a read of the code. When many connections break at once, each with keys of its own, the entry that had not changed for longest was replaced: a blocked part, which does not change while it is blocked. It would have crashed engines again. Change: free entries are taken first, then those with a single break, then others, and blocked ones last. Before: AFullTableKeepsWhatIsBlocked and AFullTableForgetsSingleBreaksFirst failed. After: they pass.

--- a/pkg/poison/poison.c
+++ b/pkg/poison/poison.c
@@ -50,26 +50,46 @@
 	return (struct poison_entry *)find(p, key);
 }
 
-/* Creates an entry, in place of the one that has not changed for longest. */
-static struct poison_entry *find_or_create(struct poison *p, uint64_t key)
+static bool is_blocked(const struct poison_entry *e, int64_t now_us)
 {
-	struct poison_entry *e = find_mutable(p, key);
-	uint32_t i;
+	return e->blocked_us > e->acquitted_us && e->blocked_until_us > now_us;
+}
 
-	if (e)
-		return e;
-	e = &p->entry[0];
-	for (i = 1; i < POISON_ENTRIES_MAX; i++)
-		if (p->entry[i].changed_us < e->changed_us)
-			e = &p->entry[i];
-	memset(e, 0, sizeof(*e));
-	e->key = key;
-	return e;
+/* Returns how much is lost with an entry. */
+static int value_of(const struct poison_entry *e, int64_t now_us)
+{
+	if (!e->key)
+		return 0;
+	if (is_blocked(e, now_us))
+		return 3;
+	return e->n_breaks > 1 ? 2 : 1;
 }
 
-static bool is_blocked(const struct poison_entry *e, int64_t now_us)
+/* Creates an entry, in place of the least valuable one that has not changed for
+ * longest. */
+static struct poison_entry *find_or_create(struct poison *p, uint64_t key,
+					   int64_t now_us)
 {
-	return e->blocked_us > e->acquitted_us && e->blocked_until_us > now_us;
+	struct poison_entry *e = find_mutable(p, key), *victim;
+	int value, least;
+	uint32_t i;
+
+	if (e)
+		return e;
+	victim = &p->entry[0];
+	least = value_of(victim, now_us);
+	for (i = 1; i < POISON_ENTRIES_MAX; i++) {
+		e = &p->entry[i];
+		value = value_of(e, now_us);
+		if (value > least ||
+		    (value == least && e->changed_us >= victim->changed_us))
+			continue;
+		victim = e;
+		least = value;
+	}
+	memset(victim, 0, sizeof(*victim));
+	victim->key = key;
+	return victim;
 }
 
 /* Brings the fields of struct poison that sum up its entries up to date. */
@@ -340,7 +360,7 @@
 		blocked = true;
 	}
 	for (i = 0; i < n && !blocked; i++) {
-		e = find_or_create(p, key[i]);
+		e = find_or_create(p, key[i], now_us);
 		e->depth = i + 1 < n ? i : POISON_KEYS_MAX;
 		add_break(e, brk, now_us);
 		accuse(e, now_us);
@@ -524,7 +544,7 @@
 
 	if (!r->key)
 		return false;
-	e = find_or_create(p, r->key);
+	e = find_or_create(p, r->key, now_us);
 	if (r->depth <= POISON_KEYS_MAX)
 		e->depth = r->depth;
 	merge_age(e, &e->acquitted_us, r->acquitted_ms, ACQUITTAL_US, now_us);
--- a/pkg/poison/test/poison_test.cc
+++ b/pkg/poison/test/poison_test.cc
@@ -385,6 +385,28 @@
 	EXPECT_TRUE(a.Blocks({1000}));
 }
 
+/* Guards against a block that ends since many connections break, as in a
+ * network failure. */
+TEST_F(Poison, AFullTableKeepsWhatIsBlocked)
+{
+	for (uint64_t i = 0; i < 3; i++, now_us += kSecond)
+		a.Break({1, 100 + i}, i);
+	for (uint64_t i = 0; i < 2 * POISON_ENTRIES_MAX; i++, now_us++)
+		a.Charge({1000 + i}, 1000 + i);
+	EXPECT_TRUE(a.Blocks({1, 200}));
+	EXPECT_FALSE(a.Blocks({1000}));
+}
+
+/* A key with two breaks is nearer to a block than many with one. */
+TEST_F(Poison, AFullTableForgetsSingleBreaksFirst)
+{
+	for (uint64_t i = 0; i < 2; i++, now_us += kSecond)
+		a.Break({1, 100 + i}, i);
+	for (uint64_t i = 0; i < 2 * POISON_ENTRIES_MAX; i++, now_us++)
+		a.Charge({1000 + i}, 1000 + i);
+	EXPECT_EQ(a.Break({1, 102}, 2), 1u);
+}
+
 TEST_F(Poison, TakesAnyReport)
 {
 	struct poison_report r = {};
