crash: keep reports within a datagram

Cause: a message on changed entries could hold 64 of them with eight breaks each, 11 KB; receivers reject datagrams of more than 9,000 bytes. Seen in a read of the code: a host that charges so many keys at the same moment is not heard. No test: it needs over 50 changes in one microsecond. Change: 32 entries at most, 16 in the regular messages, with constants of their own.

--- a/cmd/figbend/gateway/crash.c
+++ b/cmd/figbend/gateway/crash.c
@@ -16,8 +16,10 @@
  * missed a message. */
 #define GOSSIP_HOSTS 2
 #define GOSSIP_INTERVAL_US 500000LL
-/* Entries in such a message. */
+/* Entries in such a message, and in one on changes: a datagram of 9,000 bytes
+ * holds 50 entries with all their breaks. */
 #define GOSSIP_ENTRIES 16
+#define CHANGED_ENTRIES 32
 
 static_assert(POISON_BREAKS_MAX <= FIG_BREAKS_MAX, "a report fits the message");
 static_assert(POISON_KEYS_MAX >= CALL_PARTS_MAX + 1, "a request has a key too");
@@ -75,7 +77,7 @@
 			 struct fig_break brk[][POISON_BREAKS_MAX],
 			 uint32_t max, int64_t since_us, struct fig_call *call)
 {
-	struct poison_report report[FIG_SUSPECTS_MAX];
+	struct poison_report report[CHANGED_ENTRIES];
 	uint32_t i, j, n;
 
 	n = poison_report(&g->poison, report, max, since_us, gateway_now_us(g));
@@ -106,19 +108,19 @@
 /* Tells all hosts what changed from since_us on. */
 static void send_changes(struct gateway *g, int64_t since_us)
 {
-	struct fig_break brk[FIG_SUSPECTS_MAX][POISON_BREAKS_MAX];
-	struct fig_suspect row[FIG_SUSPECTS_MAX];
+	struct fig_break brk[CHANGED_ENTRIES][POISON_BREAKS_MAX];
+	struct fig_suspect row[CHANGED_ENTRIES];
 	struct fig_call call;
 
-	if (fill_message(g, row, brk, FIG_SUSPECTS_MAX, since_us, &call))
+	if (fill_message(g, row, brk, CHANGED_ENTRIES, since_us, &call))
 		heartbeat_broadcast(g, &call);
 }
 
 /* Sends what this host knows to a few hosts, if it is time to. */
 static void send_suspects(struct gateway *g)
 {
-	struct fig_break brk[FIG_SUSPECTS_MAX][POISON_BREAKS_MAX];
-	struct fig_suspect row[FIG_SUSPECTS_MAX];
+	struct fig_break brk[GOSSIP_ENTRIES][POISON_BREAKS_MAX];
+	struct fig_suspect row[GOSSIP_ENTRIES];
 	struct fig_call call;
 	int i;
 
