crash: a response at the deadline acquits nothing

What callers saw: nothing yet; found in a read of the code. An endpoint may answer 504 at the deadline, or refuse, without having begun the request. That acquitted the request and all parts of its prompt, so a part that crashes endpoints was never blocked while some of its requests waited too long. Before: test/pools blocks_a_prompt_part_that_also_meets_deadlines: 8 crashes by 8 requests, 5 allowed. After: it passes.

--- a/cmd/figbend/gateway/crash.c
+++ b/cmd/figbend/gateway/crash.c
@@ -186,7 +186,10 @@
 	send_changes(g, now_us);
 }
 
-/* See gateway.h. */
+/*
+ * See gateway.h. A refusal, or a response at the deadline, may come from an
+ * endpoint that had not begun.
+ */
 void crash_acquit(struct req *r)
 {
 	struct gateway *g = r->g;
@@ -194,6 +197,9 @@
 	uint64_t key[POISON_KEYS_MAX];
 	uint32_t n;
 
+	if (r->status == 408 || r->status == 429 || r->status == 503 ||
+	    r->status == 504)
+		return;
 	n = fill_keys(&r->call, r->account, &r->conn->request.body, key);
 	if (!poison_acquit(&g->poison, key, n, now_us))
 		return;
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -618,6 +618,19 @@
         assert r.status == 503 and "retry-after" in r.headers, r.status
 
 
+async def test_blocks_a_prompt_part_that_also_meets_deadlines(d):
+    """Guards against a 504 of an endpoint that had not begun the request: it
+    is no evidence that the request does not crash endpoints."""
+    await start_with_decoders(d, 4)
+    for i in range(16):
+        late = i % 2
+        for e in decode_endpoints(d):
+            e.faults = ["late"] if late else []
+        await crash_by_part(d, 1)
+    crashes = sum(e.crashes for e in decode_endpoints(d))
+    assert crashes <= 5, f"{crashes} crashes by 8 requests"
+
+
 async def test_restarted_host_knows_blocked_prompt_parts(d):
     """Guards against hosts that start, or were cut off, when a prompt part is
     already blocked, and would crash endpoints to learn of it again."""
--- a/test/pools/standins.py
+++ b/test/pools/standins.py
@@ -188,6 +188,7 @@
     faults, which is None for no fault:
     "overloaded"      503, not executed
     "hang"            never responds
+    "late"            504: the deadline passed before it began
     "reset"           connection reset; executed, except for a prefill
     "handle_missing"  the prefill result cannot be imported
     Plain services only:
@@ -298,6 +299,9 @@
             return True
         if fault == "hang":
             await asyncio.sleep(3600)
+        if fault == "late":
+            writer.write(self.http_response(504, b"late", identity))
+            return True
         if self.crashes_on(headers, body):
             self.executed.append(rid)
             if self.entry_removed_first:
