poison: a block is short until endpoints are known to have crashed

Cause: a broken connection and a crash weighed the same for a block. Change: a block ends after 8 s unless the store shows by then that three of the endpoints crashed, which it does within 5 s. While the store cannot be read, blocks are as long as proven ones. Before: ABlockIsShortIfNoEndpointCrashed could not hold, the block lasted 60 s. After: it passes; poison_fleet_test as before.

--- a/cmd/figbend/gateway/crash.c
+++ b/cmd/figbend/gateway/crash.c
@@ -88,7 +88,7 @@
 		row[i].explained_ms = report[i].explained_ms;
 		row[i].explained_by = report[i].explained_by;
 		row[i].blocked_ms = report[i].blocked_ms;
-		row[i].left_ms = report[i].left_ms;
+		row[i].proven = report[i].proven;
 		row[i].blocks = report[i].blocks;
 		row[i].brk.brk_len = report[i].n_breaks;
 		row[i].brk.brk_val = brk[i];
@@ -124,7 +124,7 @@
 	struct fig_call call;
 	int i;
 
-	if (!g->poison.n_suspects ||
+	if (!poison_suspects_any(&g->poison) ||
 	    gateway_now_us(g) - g->suspects_sent_us < GOSSIP_INTERVAL_US)
 		return;
 	g->suspects_sent_us = gateway_now_us(g);
@@ -157,6 +157,7 @@
 /* See gateway.h. */
 void crash_tick(struct gateway *g)
 {
+	poison_set_store_lost(&g->poison, !store_reader_shows_crashes(g));
 	judge(g);
 	send_suspects(g);
 }
@@ -236,7 +237,7 @@
 		report.explained_ms = row->explained_ms;
 		report.explained_by = row->explained_by;
 		report.blocked_ms = row->blocked_ms;
-		report.left_ms = row->left_ms;
+		report.proven = row->proven;
 		report.blocks = row->blocks;
 		for (j = 0; j < row->brk.brk_len && j < POISON_BREAKS_MAX;
 		     j++) {
@@ -247,8 +248,12 @@
 		report.n_breaks = j;
 		if (poison_merge(&g->poison, &report, gateway_now_us(g)))
 			logline(LOG_WARNING, "blocked",
-				"key=%016llx for_ms=%u source=peer",
-				(unsigned long long)row->key, row->left_ms);
+				"key=%016llx for_ms=%lld source=peer",
+				(unsigned long long)row->key,
+				(long long)poison_blocked_us(
+					&g->poison, &report.key, 1,
+					gateway_now_us(g)) /
+					1000);
 	}
 }
 
@@ -261,7 +266,7 @@
 	uint32_t n;
 
 	judge(g);
-	if (!poison_blocks_any(&g->poison, gateway_now_us(g)))
+	if (!poison_suspects_any(&g->poison))
 		return 0;
 	n = fill_keys(call, account, body, key);
 	return poison_blocked_us(&g->poison, key, n, gateway_now_us(g));
--- a/cmd/figbend/gateway/gateway.h
+++ b/cmd/figbend/gateway/gateway.h
@@ -172,6 +172,8 @@
 			    uint64_t peer_offset);
 /* Reads the stream from the store at once, also if this host is passive. */
 void store_reader_poll(struct gateway *g, enum adapter_topic t);
+/* Returns true if the crash of an endpoint would show in the records. */
+bool store_reader_shows_crashes(const struct gateway *g);
 /* Deletes this host's record, so that peers need no time-out to remove it. */
 void store_reader_unregister(struct gateway *g);
 
--- a/cmd/figbend/gateway/store_reader.c
+++ b/cmd/figbend/gateway/store_reader.c
@@ -55,6 +55,9 @@
 /* Entries that expired while the store was unavailable are published again
  * within about 2 s of its recovery. */
 #define RECOVERY_US 2000000LL
+/* The store shows a crash this long after it, at the latest: an entry expires
+ * after three heartbeats, of about 1.2 s each. */
+#define CRASH_SHOWN_US 5000000LL
 /* How long an endpoint stays in use after its entry expired while the store was
  * unavailable. An endpoint that is in fact leaving serves for another 2 s; the
  * delay of a read and the time that a request takes to arrive are subtracted
@@ -132,13 +135,20 @@
 	}
 }
 
-/* Returns true if the store is unavailable or recovered a short time ago. */
-static bool store_was_unavailable(const struct gateway *g, int64_t now_us)
+/* Returns true if the store is unavailable or recovered less than after_us ago. */
+static bool store_was_unavailable(const struct gateway *g, int64_t after_us)
 {
 	const struct store_reader *sr = &g->reader[ADAPTER_ENDPOINTS];
 
 	return sr->failures ||
-	       (sr->recovered_us && now_us - sr->recovered_us < RECOVERY_US);
+	       (sr->recovered_us &&
+		gateway_now_us(g) - sr->recovered_us < after_us);
+}
+
+/* See gateway.h. */
+bool store_reader_shows_crashes(const struct gateway *g)
+{
+	return !store_was_unavailable(g, CRASH_SHOWN_US);
 }
 
 static void remove_endpoint(struct gateway *g, const char *id, uint64_t offset,
@@ -150,7 +160,7 @@
 
 	if (!e)
 		return;
-	expired = !e->entry.draining && store_was_unavailable(g, now_us);
+	expired = !e->entry.draining && store_was_unavailable(g, RECOVERY_US);
 	/* An endpoint drains before it stops in order: without that, the loss
 	 * of its entry counts as a crash. */
 	if (!e->entry.draining)
--- a/pkg/poison/poison.c
+++ b/pkg/poison/poison.c
@@ -2,14 +2,15 @@
 
 #include <string.h>
 
-/* A break counts this long; the first value applies until it is confirmed. The
- * store shows a crash within 5 s, if it is available. */
+/* A break counts this long; the first value applies until it is confirmed. */
 #define UNCONFIRMED_US 30000000LL
 #define CONFIRMED_US 1200000000LL
 /* Time from the accusation to the judgement: connections to an endpoint break at
  * nearly the same time, and their hosts' reports take a few milliseconds. */
 #define SETTLE_US 30000LL
-/* Length of the first block; each further one is twice as long. */
+/* Length of a block that is not proven: the store shows a crash within 5 s. */
+#define UNPROVEN_US 8000000LL
+/* Length of the first proven block; each further one is twice as long. */
 #define BLOCK_US 60000000LL
 #define BLOCK_MAX_US 600000000LL
 /* How long an acquittal is kept, so that late reports do not undo it. */
@@ -25,9 +26,14 @@
 	memset(p, 0, sizeof(*p));
 }
 
-bool poison_blocks_any(const struct poison *p, int64_t now_us)
+void poison_set_store_lost(struct poison *p, bool lost)
 {
-	return now_us < p->blocked_until_us;
+	p->store_lost = lost;
+}
+
+bool poison_suspects_any(const struct poison *p)
+{
+	return p->n_suspects != 0;
 }
 
 bool poison_is_accusing(const struct poison *p)
@@ -50,17 +56,39 @@
 	return (struct poison_entry *)find(p, key);
 }
 
-static bool is_blocked(const struct poison_entry *e, int64_t now_us)
+/* Returns how long the block of a key goes on, or 0 if it is not blocked. */
+static int64_t left_us(const struct poison *p, const struct poison_entry *e,
+		       int64_t now_us)
+{
+	int64_t length_us = BLOCK_US;
+	uint32_t i;
+
+	if (e->blocked_us <= e->acquitted_us)
+		return 0;
+	for (i = 1; i < e->blocks && length_us < BLOCK_MAX_US; i++)
+		length_us *= 2;
+	if (length_us > BLOCK_MAX_US)
+		length_us = BLOCK_MAX_US;
+	if (!e->proven && !p->store_lost)
+		length_us = UNPROVEN_US;
+	return now_us - e->blocked_us < length_us
+		       ? e->blocked_us + length_us - now_us
+		       : 0;
+}
+
+static bool is_blocked(const struct poison *p, const struct poison_entry *e,
+		       int64_t now_us)
 {
-	return e->blocked_us > e->acquitted_us && e->blocked_until_us > now_us;
+	return left_us(p, e, now_us) > 0;
 }
 
 /* Returns how much is lost with an entry. */
-static int value_of(const struct poison_entry *e, int64_t now_us)
+static int value_of(const struct poison *p, const struct poison_entry *e,
+		    int64_t now_us)
 {
 	if (!e->key)
 		return 0;
-	if (is_blocked(e, now_us))
+	if (is_blocked(p, e, now_us))
 		return 3;
 	return e->n_breaks > 1 ? 2 : 1;
 }
@@ -77,10 +105,10 @@
 	if (e)
 		return e;
 	victim = &p->entry[0];
-	least = value_of(victim, now_us);
+	least = value_of(p, victim, now_us);
 	for (i = 1; i < POISON_ENTRIES_MAX; i++) {
 		e = &p->entry[i];
-		value = value_of(e, now_us);
+		value = value_of(p, e, now_us);
 		if (value > least ||
 		    (value == least && e->changed_us >= victim->changed_us))
 			continue;
@@ -100,16 +128,12 @@
 
 	p->n_suspects = 0;
 	p->n_accused = 0;
-	p->blocked_until_us = 0;
 	for (i = 0; i < POISON_ENTRIES_MAX; i++) {
 		e = &p->entry[i];
 		if (e->n_breaks || e->blocked_us > e->acquitted_us)
 			p->n_suspects++;
 		if (e->accused_us)
 			p->n_accused++;
-		if (e->blocked_us > e->acquitted_us &&
-		    e->blocked_until_us > p->blocked_until_us)
-			p->blocked_until_us = e->blocked_until_us;
 	}
 }
 
@@ -123,7 +147,8 @@
 }
 
 /* Removes the breaks that no longer count, and frees an entry without content. */
-static void expire(struct poison_entry *e, int64_t now_us)
+static void expire(const struct poison *p, struct poison_entry *e,
+		   int64_t now_us)
 {
 	uint32_t i, n = 0;
 
@@ -131,7 +156,7 @@
 		if (counts(e, &e->brk[i], now_us))
 			e->brk[n++] = e->brk[i];
 	e->n_breaks = n;
-	if (!n && !is_blocked(e, now_us) &&
+	if (!n && !is_blocked(p, e, now_us) &&
 	    (!e->acquitted_us || now_us - e->acquitted_us >= ACQUITTAL_US))
 		memset(e, 0, sizeof(*e));
 }
@@ -142,25 +167,25 @@
 
 	for (i = 0; i < POISON_ENTRIES_MAX; i++)
 		if (p->entry[i].key)
-			expire(&p->entry[i], now_us);
+			expire(p, &p->entry[i], now_us);
 }
 
 int64_t poison_blocked_us(const struct poison *p, const uint64_t *key,
 			  uint32_t n, int64_t now_us)
 {
 	const struct poison_entry *e;
-	int64_t blocked_us = 0;
+	int64_t us, longest_us = 0;
 	uint32_t i;
 
-	if (!poison_blocks_any(p, now_us))
+	if (!poison_suspects_any(p))
 		return 0;
 	for (i = 0; i < n; i++) {
 		e = find(p, key[i]);
-		if (e && is_blocked(e, now_us) &&
-		    e->blocked_until_us - now_us > blocked_us)
-			blocked_us = e->blocked_until_us - now_us;
+		us = e ? left_us(p, e, now_us) : 0;
+		if (us > longest_us)
+			longest_us = us;
 	}
-	return blocked_us;
+	return longest_us;
 }
 
 /* Returns true if the key broke there; unknown if it has broken often since. */
@@ -186,9 +211,10 @@
 }
 
 /* Accuses the key if it has enough breaks, and ends an accusation if not. */
-static void accuse(struct poison_entry *e, int64_t now_us)
+static void accuse(const struct poison *p, struct poison_entry *e,
+		   int64_t now_us)
 {
-	if (is_blocked(e, now_us) || count_accusing(e) < POISON_BREAKS)
+	if (is_blocked(p, e, now_us) || count_accusing(e) < POISON_BREAKS)
 		e->accused_us = 0;
 	else if (!e->accused_us)
 		e->accused_us = now_us;
@@ -228,19 +254,26 @@
 	e->changed_us = now_us;
 }
 
-static void block(struct poison_entry *e, int64_t now_us)
+/* Proves the block of a key if enough of its breaks are confirmed. */
+static void prove(struct poison_entry *e, int64_t now_us)
 {
-	int64_t block_us = BLOCK_US;
-	uint32_t i;
+	uint32_t i, n = 0;
 
-	for (i = 0; i < e->blocks && block_us < BLOCK_MAX_US; i++)
-		block_us *= 2;
-	if (block_us > BLOCK_MAX_US)
-		block_us = BLOCK_MAX_US;
-	e->blocks++;
+	for (i = 0; i < e->n_breaks; i++)
+		n += e->brk[i].confirmed;
+	if (!e->blocks || e->proven || n < POISON_BREAKS)
+		return;
+	e->proven = true;
+	e->changed_us = now_us;
+}
+
+static void block(struct poison_entry *e, int64_t now_us)
+{
+	if (!e->blocks || e->proven)
+		e->blocks++;
 	e->blocked_us = now_us;
-	e->blocked_until_us = now_us + block_us;
 	e->changed_us = now_us;
+	prove(e, now_us);
 }
 
 /* Breaks until then do not accuse the key any more. */
@@ -296,7 +329,7 @@
 		     const struct poison_entry *e, int64_t now_us)
 {
 	return d && d->key && d->depth > e->depth &&
-	       (is_blocked(d, now_us) || !was_answered(p, d, now_us)) &&
+	       (is_blocked(p, d, now_us) || !was_answered(p, d, now_us)) &&
 	       covers(d, e, now_us);
 }
 
@@ -354,7 +387,7 @@
 	expire_all(p, now_us);
 	for (i = 0; i < n; i++) {
 		e = find_mutable(p, key[i]);
-		if (!e || !is_blocked(e, now_us))
+		if (!e || !is_blocked(p, e, now_us))
 			continue;
 		add_break(e, brk, now_us);
 		blocked = true;
@@ -363,7 +396,7 @@
 		e = find_or_create(p, key[i], now_us);
 		e->depth = i + 1 < n ? i : POISON_KEYS_MAX;
 		add_break(e, brk, now_us);
-		accuse(e, now_us);
+		accuse(p, e, now_us);
 	}
 	sum_up(p);
 }
@@ -406,6 +439,7 @@
 				e->changed_us = now_us;
 				n++;
 			}
+		prove(e, now_us);
 	}
 	return n;
 }
@@ -417,6 +451,8 @@
 	e->explained_us = 0;
 	e->explained_by = 0;
 	e->accused_us = 0;
+	e->blocked_us = 0;
+	e->proven = false;
 	e->blocks = 0;
 	e->n_breaks = 0;
 	e->changed_us = now_us;
@@ -435,7 +471,7 @@
 		a->key = key[i];
 		a->at_us = now_us;
 		e = p->n_suspects ? find_mutable(p, key[i]) : NULL;
-		if (!e || (!e->n_breaks && !is_blocked(e, now_us)))
+		if (!e || (!e->n_breaks && !is_blocked(p, e, now_us)))
 			continue;
 		acquit(e, now_us);
 		any = true;
@@ -467,8 +503,7 @@
 	r->explained_ms = age_if_any_ms(e->explained_us, now_us);
 	r->explained_by = e->explained_by;
 	r->blocked_ms = age_if_any_ms(e->blocked_us, now_us);
-	if (is_blocked(e, now_us))
-		r->left_ms = (uint32_t)((e->blocked_until_us - now_us) / 1000);
+	r->proven = e->proven;
 	r->blocks = e->blocks;
 	r->n_breaks = e->n_breaks;
 	for (i = 0; i < e->n_breaks; i++) {
@@ -489,7 +524,7 @@
 		for (i = 0; i < POISON_ENTRIES_MAX && n < max; i++) {
 			e = &p->entry[i];
 			if (!e->key || e->changed_us < since_us ||
-			    is_blocked(e, now_us) != (pass == 0))
+			    is_blocked(p, e, now_us) != (pass == 0))
 				continue;
 			fill_report(e, &out[n++], now_us);
 		}
@@ -510,28 +545,23 @@
 	return true;
 }
 
-/*
- * Merges the block of a report, unless this host has explained all breaks of the
- * key otherwise. Returns true if the key was not blocked before.
- */
-static bool merge_block(struct poison_entry *e, const struct poison_report *r,
+/* Merges the last block of a report, unless this host has explained all breaks
+ * of the key otherwise. */
+static void merge_block(struct poison_entry *e, const struct poison_report *r,
 			int64_t now_us)
 {
-	bool was_blocked = is_blocked(e, now_us);
-	int64_t left_us = r->left_ms * 1000LL;
-
-	if (!left_us || (e->explained_us && !count_accusing(e)))
-		return false;
-	if (left_us > BLOCK_MAX_US)
-		left_us = BLOCK_MAX_US;
-	merge_age(e, &e->blocked_us, r->blocked_ms, BLOCK_MAX_US, now_us);
-	if (e->blocked_us <= e->acquitted_us)
-		return false;
-	if (now_us + left_us > e->blocked_until_us)
-		e->blocked_until_us = now_us + left_us;
+	if (e->explained_us && !count_accusing(e))
+		return;
+	if (!merge_age(e, &e->blocked_us, r->blocked_ms, BLOCK_MAX_US,
+		       now_us) &&
+	    (!e->blocks || e->blocks != r->blocks))
+		return;
 	if (r->blocks > e->blocks)
 		e->blocks = r->blocks;
-	return !was_blocked;
+	if (r->proven && !e->proven) {
+		e->proven = true;
+		e->changed_us = now_us;
+	}
 }
 
 bool poison_merge(struct poison *p, const struct poison_report *r,
@@ -539,12 +569,13 @@
 {
 	struct poison_break b;
 	struct poison_entry *e;
-	bool blocked;
+	bool was_blocked;
 	uint32_t i;
 
 	if (!r->key)
 		return false;
 	e = find_or_create(p, r->key, now_us);
+	was_blocked = is_blocked(p, e, now_us);
 	if (r->depth <= POISON_KEYS_MAX)
 		e->depth = r->depth;
 	merge_age(e, &e->acquitted_us, r->acquitted_ms, ACQUITTAL_US, now_us);
@@ -558,9 +589,10 @@
 		b.confirmed = r->brk[i].confirmed;
 		add_break(e, &b, now_us);
 	}
-	blocked = merge_block(e, r, now_us);
-	accuse(e, now_us);
-	expire(e, now_us);
+	merge_block(e, r, now_us);
+	prove(e, now_us);
+	accuse(p, e, now_us);
+	expire(p, e, now_us);
 	sum_up(p);
-	return blocked;
+	return !was_blocked && is_blocked(p, e, now_us);
 }
--- a/pkg/poison/poison.h
+++ b/pkg/poison/poison.h
@@ -23,14 +23,16 @@
  * was answered before it became suspect: then its breaks so far are put down to
  * chance, once.
  *
- * A block ends by an answer, or after a time that doubles from one block to the
- * next. Nothing else ends it: hosts that learn of breaks in another order may
- * blame different keys, but never undo each other's blocks. While a key is
+ * Connections also break when endpoints do not crash. So a block is short until
+ * it is proven: the store shows that as many endpoints crashed as it takes to
+ * accuse a key. A break counts for a short time until it is confirmed.
+ *
+ * A block ends by an answer, or after a time that doubles from one proven block
+ * to the next. Nothing else ends it: hosts that learn of breaks in another order
+ * may blame different keys, but never undo each other's blocks. While a key is
  * blocked, the breaks of requests that were sent before are its own, and charge
  * no other key.
  *
- * A break counts for a short time unless the endpoint is known to have crashed.
- *
  * Hosts exchange their entries, as ages, since their clocks differ. Merging is
  * idempotent and does not depend on the order of messages.
  *
@@ -59,9 +61,9 @@
 	int64_t explained_us;  /* breaks until then do not accuse; 0 if none */
 	uint64_t explained_by; /* the deeper key; 0 if it was not one */
 	int64_t accused_us;    /* 0 if it is not accused */
-	int64_t blocked_us;    /* start of the block; 0 if none */
-	int64_t blocked_until_us;
-	uint32_t blocks;
+	int64_t blocked_us;    /* start of the last block; 0 if none */
+	bool proven;	       /* it is known to crash endpoints */
+	uint32_t blocks;       /* that were proven, and the last one */
 	int64_t changed_us; /* last change that other hosts need to know of */
 };
 
@@ -74,9 +76,9 @@
 struct poison {
 	struct poison_entry entry[POISON_ENTRIES_MAX];
 	struct poison_answered answered[POISON_ANSWERED_MAX]; /* by key */
-	uint32_t n_suspects;	  /* entries with breaks or a block */
-	uint32_t n_accused;	  /* entries to be judged */
-	int64_t blocked_until_us; /* the last block ends; 0 if none */
+	uint32_t n_suspects; /* entries with breaks or a block */
+	uint32_t n_accused;  /* entries to be judged */
+	bool store_lost;     /* see poison_set_store_lost() */
 };
 
 /* What hosts tell each other of a key. */
@@ -86,8 +88,8 @@
 	uint32_t acquitted_ms; /* age of the acquittal; UINT32_MAX if none */
 	uint32_t explained_ms; /* age of explained_us; UINT32_MAX if none */
 	uint64_t explained_by;
-	uint32_t blocked_ms; /* age of the block; UINT32_MAX if none */
-	uint32_t left_ms;    /* time that the block has left, 0 if none */
+	uint32_t blocked_ms; /* age of the last block; UINT32_MAX if none */
+	bool proven;
 	uint32_t blocks;
 	uint32_t n_breaks;
 	struct {
@@ -98,8 +100,13 @@
 };
 
 void poison_init(struct poison *p);
-/* Returns true if a key may be blocked. */
-bool poison_blocks_any(const struct poison *p, int64_t now_us);
+/*
+ * Tells whether the store shows crashes at present. If not, blocks are as long as
+ * if they were proven.
+ */
+void poison_set_store_lost(struct poison *p, bool lost);
+/* Returns true if a key has breaks or a block: else nothing needs to be asked. */
+bool poison_suspects_any(const struct poison *p);
 /*
  * Returns the time in microseconds for which a request with these keys is
  * blocked, or 0.
--- a/pkg/poison/test/poison_test.cc
+++ b/pkg/poison/test/poison_test.cc
@@ -291,6 +291,52 @@
 	EXPECT_TRUE(a.Blocks({1, 200}));
 }
 
+/* Guards against callers that are refused for a minute since a network failure
+ * broke their connections. */
+TEST_F(Poison, ABlockIsShortIfNoEndpointCrashed)
+{
+	for (uint64_t i = 0; i < 3; i++)
+		a.Break({1, 100 + i}, i, false);
+	a.Tell(b);
+	now_us += 7 * kSecond;
+	EXPECT_TRUE(a.Blocks({1, 200}));
+	EXPECT_TRUE(b.Blocks({1, 200}));
+	now_us += kSecond;
+	EXPECT_FALSE(a.Blocks({1, 200}));
+	EXPECT_FALSE(b.Blocks({1, 200}));
+	for (int i = 0; i < 10; i++, now_us += kSecond) {
+		a.Tell(b);
+		b.Tell(a);
+		EXPECT_FALSE(a.Blocks({1, 200}));
+	}
+}
+
+TEST_F(Poison, ABlockIsProvenByTheCrashesOfEndpoints)
+{
+	for (uint64_t i = 0; i < 3; i++)
+		a.Break({1, 100 + i}, i, false);
+	a.Tell(b);
+	now_us += 5 * kSecond;
+	for (uint64_t i = 0; i < 3; i++)
+		poison_confirm(&a.p, i, now_us);
+	a.Tell(b);
+	now_us += 50 * kSecond;
+	EXPECT_TRUE(a.Blocks({1, 200}));
+	EXPECT_TRUE(b.Blocks({1, 200}));
+}
+
+/* The store would show the crashes. */
+TEST_F(Poison, ABlockIsNotShortWhileTheStoreIsLost)
+{
+	poison_set_store_lost(&a.p, true);
+	for (uint64_t i = 0; i < 3; i++)
+		a.Break({1, 100 + i}, i, false);
+	now_us += 50 * kSecond;
+	EXPECT_TRUE(a.Blocks({1, 200}));
+	poison_set_store_lost(&a.p, false);
+	EXPECT_FALSE(a.Blocks({1, 200}));
+}
+
 TEST_F(Poison, ABlockEndsAndTheNextBreakRenewsItForLonger)
 {
 	for (uint64_t i = 0; i < 3; i++, now_us += kSecond)
@@ -413,7 +459,8 @@
 
 	EXPECT_FALSE(poison_merge(&a.p, &r, now_us));
 	r.key = 1;
-	r.acquitted_ms = r.left_ms = r.blocks = r.n_breaks = UINT32_MAX;
+	r.acquitted_ms = r.blocks = r.n_breaks = UINT32_MAX;
+	r.proven = true;
 	r.explained_ms = r.depth = UINT32_MAX;
 	for (uint32_t i = 0; i < POISON_BREAKS; i++)
 		r.brk[i] = {i + 1ULL, i * 1000, true};
--- a/pkg/wire/fig_msg.x
+++ b/pkg/wire/fig_msg.x
@@ -103,7 +103,7 @@
 	unsigned int explained_ms;
 	unsigned hyper explained_by; /* a key, or 0 */
 	unsigned int blocked_ms;
-	unsigned int left_ms; /* time that the block has left, 0 if none */
+	bool proven;
 	unsigned int blocks;
 	fig_break brk<FIG_BREAKS_MAX>;
 };
--- a/pkg/wire/gen/fig_msg.h
+++ b/pkg/wire/gen/fig_msg.h
@@ -113,7 +113,7 @@
 	u_int explained_ms;
 	u_quad_t explained_by;
 	u_int blocked_ms;
-	u_int left_ms;
+	bool_t proven;
 	u_int blocks;
 	struct {
 		u_int brk_len;
--- a/pkg/wire/gen/fig_msg_xdr.c
+++ b/pkg/wire/gen/fig_msg_xdr.c
@@ -179,14 +179,14 @@
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->blocked_ms))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->left_ms))
+			 if (!xdr_bool (xdrs, &objp->proven))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->blocks))
 				 return FALSE;
 
 		} else {
 		IXDR_PUT_U_LONG(buf, objp->blocked_ms);
-		IXDR_PUT_U_LONG(buf, objp->left_ms);
+		IXDR_PUT_BOOL(buf, objp->proven);
 		IXDR_PUT_U_LONG(buf, objp->blocks);
 		}
 		 if (!xdr_array (xdrs, (char **)&objp->brk.brk_val, (u_int *) &objp->brk.brk_len, FIG_BREAKS_MAX,
@@ -216,14 +216,14 @@
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->blocked_ms))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->left_ms))
+			 if (!xdr_bool (xdrs, &objp->proven))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->blocks))
 				 return FALSE;
 
 		} else {
 		objp->blocked_ms = IXDR_GET_U_LONG(buf);
-		objp->left_ms = IXDR_GET_U_LONG(buf);
+		objp->proven = IXDR_GET_BOOL(buf);
 		objp->blocks = IXDR_GET_U_LONG(buf);
 		}
 		 if (!xdr_array (xdrs, (char **)&objp->brk.brk_val, (u_int *) &objp->brk.brk_len, FIG_BREAKS_MAX,
@@ -244,7 +244,7 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->blocked_ms))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->left_ms))
+	 if (!xdr_bool (xdrs, &objp->proven))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->blocks))
 		 return FALSE;
