poison: hosts take turns after a block

In virtual time (100 deadly requests a second, 20 hosts) 5 to 15 of them reached endpoints after the first minute, where three are allowed for all time. Cause: a block ended on all hosts at the same moment, and was renewed only after the next crash was judged. Change: half-open: turns of 3 s by the hash of host and key, one request in each, until one is answered or the key is blocked again, for twice as long.

--- a/cmd/figbend/gateway/crash.c
+++ b/cmd/figbend/gateway/crash.c
@@ -158,6 +158,8 @@
 void crash_tick(struct gateway *g)
 {
 	poison_set_store_lost(&g->poison, !store_reader_shows_crashes(g));
+	poison_set_hosts(&g->poison, namehash(g->settings->host),
+			 g->fleet.hosts);
 	judge(g);
 	send_suspects(g);
 }
@@ -257,17 +259,40 @@
 	}
 }
 
+/*
+ * Judges the suspects and fills the keys of a request. Returns their number, or 0
+ * if there is no suspect.
+ */
+static uint32_t fill_keys_if_suspects(struct gateway *g,
+				      const struct call_head *call,
+				      const struct directory_account *account,
+				      const struct h1_buf *body,
+				      uint64_t key[POISON_KEYS_MAX])
+{
+	judge(g);
+	if (!poison_suspects_any(&g->poison))
+		return 0;
+	return fill_keys(call, account, body, key);
+}
+
 /* See gateway.h. */
 int64_t crash_blocked_us(struct gateway *g, const struct call_head *call,
 			 const struct directory_account *account,
 			 const struct h1_buf *body)
 {
 	uint64_t key[POISON_KEYS_MAX];
-	uint32_t n;
+	uint32_t n = fill_keys_if_suspects(g, call, account, body, key);
 
-	judge(g);
-	if (!poison_suspects_any(&g->poison))
-		return 0;
-	n = fill_keys(call, account, body, key);
 	return poison_blocked_us(&g->poison, key, n, gateway_now_us(g));
 }
+
+/* See gateway.h. */
+int64_t crash_admit_us(struct gateway *g, const struct call_head *call,
+		       const struct directory_account *account,
+		       const struct h1_buf *body)
+{
+	uint64_t key[POISON_KEYS_MAX];
+	uint32_t n = fill_keys_if_suspects(g, call, account, body, key);
+
+	return poison_admit_us(&g->poison, key, n, gateway_now_us(g));
+}
--- a/cmd/figbend/gateway/gateway.h
+++ b/cmd/figbend/gateway/gateway.h
@@ -246,6 +246,13 @@
 int64_t crash_blocked_us(struct gateway *g, const struct call_head *call,
 			 const struct directory_account *account,
 			 const struct h1_buf *body);
+/*
+ * The same for a request before its first attempt, or before a further one: after
+ * a block hosts let few requests through, see poison_admit_us().
+ */
+int64_t crash_admit_us(struct gateway *g, const struct call_head *call,
+		       const struct directory_account *account,
+		       const struct h1_buf *body);
 
 /* req.c: requests of callers; the handlers' ctx is the struct gateway. */
 void req_init(struct gateway *g);
--- a/cmd/figbend/gateway/req.c
+++ b/cmd/figbend/gateway/req.c
@@ -379,7 +379,7 @@
 {
 	struct gateway *g = r->g;
 
-	if (crash_blocked_us(g, &r->call, r->account, &r->conn->request.body))
+	if (crash_admit_us(g, &r->call, r->account, &r->conn->request.body))
 		return false;
 	if (ratelimit_retry_consume(&g->retry_budgets, r->service->name,
 				    g->fleet.hosts, gateway_now_us(g))) {
@@ -658,7 +658,7 @@
 				 NULL, "unknown API key");
 		return;
 	}
-	blocked_us = crash_blocked_us(g, &call, account, &c->request.body);
+	blocked_us = crash_admit_us(g, &call, account, &c->request.body);
 	if (blocked_us) {
 		snprintf(fields, sizeof(fields), "Retry-After: %.2f\r\n",
 			 (double)blocked_us / 1e6);
--- a/pkg/poison/poison.c
+++ b/pkg/poison/poison.c
@@ -13,6 +13,8 @@
 /* Length of the first proven block; each further one is twice as long. */
 #define BLOCK_US 60000000LL
 #define BLOCK_MAX_US 600000000LL
+/* Length of a host's turn after a block: most answers begin within it. */
+#define PROBE_US 3000000LL
 /* How long an acquittal is kept, so that late reports do not undo it. */
 #define ACQUITTAL_US 60000000LL
 /* How long an answer speaks for its keys. */
@@ -31,6 +33,12 @@
 	p->store_lost = lost;
 }
 
+void poison_set_hosts(struct poison *p, uint64_t host, uint32_t hosts)
+{
+	p->host = host;
+	p->hosts = hosts;
+}
+
 bool poison_suspects_any(const struct poison *p)
 {
 	return p->n_suspects != 0;
@@ -56,30 +64,28 @@
 	return (struct poison_entry *)find(p, key);
 }
 
-/* Returns how long the block of a key goes on, or 0 if it is not blocked. */
-static int64_t left_us(const struct poison *p, const struct poison_entry *e,
-		       int64_t now_us)
+/* Returns when the last block of a key ends or has ended; 0 if there is none. */
+static int64_t block_end_us(const struct poison *p,
+			    const struct poison_entry *e)
 {
 	int64_t length_us = BLOCK_US;
 	uint32_t i;
 
 	if (e->blocked_us <= e->acquitted_us)
 		return 0;
+	if (!e->proven && !p->store_lost)
+		return e->blocked_us + UNPROVEN_US;
 	for (i = 1; i < e->blocks && length_us < BLOCK_MAX_US; i++)
 		length_us *= 2;
 	if (length_us > BLOCK_MAX_US)
 		length_us = BLOCK_MAX_US;
-	if (!e->proven && !p->store_lost)
-		length_us = UNPROVEN_US;
-	return now_us - e->blocked_us < length_us
-		       ? e->blocked_us + length_us - now_us
-		       : 0;
+	return e->blocked_us + length_us;
 }
 
 static bool is_blocked(const struct poison *p, const struct poison_entry *e,
 		       int64_t now_us)
 {
-	return left_us(p, e, now_us) > 0;
+	return block_end_us(p, e) > now_us;
 }
 
 /* Returns how much is lost with an entry. */
@@ -174,18 +180,66 @@
 			  uint32_t n, int64_t now_us)
 {
 	const struct poison_entry *e;
-	int64_t us, longest_us = 0;
+	int64_t end_us = now_us;
 	uint32_t i;
 
 	if (!poison_suspects_any(p))
 		return 0;
 	for (i = 0; i < n; i++) {
 		e = find(p, key[i]);
-		us = e ? left_us(p, e, now_us) : 0;
-		if (us > longest_us)
-			longest_us = us;
+		if (e && block_end_us(p, e) > end_us)
+			end_us = block_end_us(p, e);
+	}
+	return end_us - now_us;
+}
+
+/* Returns the place of this host among those that take turns for a key. */
+static uint32_t turn_of(const struct poison *p, uint64_t key)
+{
+	return (uint32_t)(((key ^ p->host) * 0x9e3779b97f4a7c15ULL) >> 32) %
+	       (p->hosts ? p->hosts : 1);
+}
+
+/*
+ * Returns 0 if a request with the key may be let through now, else the time until
+ * the turn of the next host, when more is known.
+ */
+static int64_t probe_wait_us(const struct poison *p,
+			     const struct poison_entry *e, int64_t now_us)
+{
+	int64_t end_us = block_end_us(p, e), turn, start_us;
+
+	if (!end_us || !e->proven)
+		return 0;
+	turn = (now_us - end_us) / PROBE_US;
+	start_us = end_us + turn * PROBE_US;
+	if (turn % (p->hosts ? p->hosts : 1) == turn_of(p, e->key) &&
+	    e->probed_us < start_us)
+		return 0;
+	return start_us + PROBE_US - now_us;
+}
+
+int64_t poison_admit_us(struct poison *p, const uint64_t *key, uint32_t n,
+			int64_t now_us)
+{
+	int64_t wait_us = poison_blocked_us(p, key, n, now_us), probe_us;
+	struct poison_entry *e;
+	uint32_t i;
+
+	if (wait_us || !poison_suspects_any(p))
+		return wait_us;
+	for (i = 0; i < n; i++) {
+		e = find_mutable(p, key[i]);
+		probe_us = e ? probe_wait_us(p, e, now_us) : 0;
+		if (probe_us > wait_us)
+			wait_us = probe_us;
+	}
+	for (i = 0; i < n && !wait_us; i++) {
+		e = find_mutable(p, key[i]);
+		if (e)
+			e->probed_us = now_us;
 	}
-	return longest_us;
+	return wait_us;
 }
 
 /* Returns true if the key broke there; unknown if it has broken often since. */
--- a/pkg/poison/poison.h
+++ b/pkg/poison/poison.h
@@ -33,6 +33,9 @@
  * blocked, the breaks of requests that were sent before are its own, and charge
  * no other key.
  *
+ * After a proven block hosts take turns to let one request through, until one is
+ * answered or the key is blocked again (half-open circuit breaker).
+ *
  * Hosts exchange their entries, as ages, since their clocks differ. Merging is
  * idempotent and does not depend on the order of messages.
  *
@@ -64,6 +67,7 @@
 	int64_t blocked_us;    /* start of the last block; 0 if none */
 	bool proven;	       /* it is known to crash endpoints */
 	uint32_t blocks;       /* that were proven, and the last one */
+	int64_t probed_us;     /* last request let through after a block */
 	int64_t changed_us; /* last change that other hosts need to know of */
 };
 
@@ -79,6 +83,8 @@
 	uint32_t n_suspects; /* entries with breaks or a block */
 	uint32_t n_accused;  /* entries to be judged */
 	bool store_lost;     /* see poison_set_store_lost() */
+	uint64_t host;	     /* see poison_set_hosts() */
+	uint32_t hosts;
 };
 
 /* What hosts tell each other of a key. */
@@ -105,6 +111,8 @@
  * if they were proven.
  */
 void poison_set_store_lost(struct poison *p, bool lost);
+/* Tells the hash of this host's name and the number of hosts, this one included. */
+void poison_set_hosts(struct poison *p, uint64_t host, uint32_t hosts);
 /* Returns true if a key has breaks or a block: else nothing needs to be asked. */
 bool poison_suspects_any(const struct poison *p);
 /*
@@ -113,6 +121,13 @@
  */
 int64_t poison_blocked_us(const struct poison *p, const uint64_t *key,
 			  uint32_t n, int64_t now_us);
+/*
+ * Returns 0 if a new request with these keys may be sent to an endpoint, else how
+ * long it is blocked or hosts wait until they let the next one through. If 0 is
+ * returned, the request may be the one that this host lets through.
+ */
+int64_t poison_admit_us(struct poison *p, const uint64_t *key, uint32_t n,
+			int64_t now_us);
 /*
  * Charges a request whose connection to an endpoint broke before its answer had
  * begun. key is its chain, the most shared key first.
--- a/pkg/poison/test/poison_fleet_test.cc
+++ b/pkg/poison/test/poison_fleet_test.cc
@@ -53,8 +53,8 @@
 	    : load_(load), random_(seed), hosts_(load.hosts),
 	      endpoints_(load.endpoints), in_touch_us_(load.hosts)
 	{
-		for (struct poison &h : hosts_)
-			poison_init(&h);
+		for (uint32_t h = 0; h < hosts_.size(); h++)
+			Start(h);
 	}
 
 	void Run(int64_t duration_us)
@@ -90,7 +90,7 @@
 	void RestartAt(int64_t at_us, uint32_t host)
 	{
 		At(now_us_ + at_us, [this, host] {
-			poison_init(&hosts_[host]);
+			Start(host);
 			in_touch_us_[host] = now_us_ + kContact;
 		});
 	}
@@ -156,6 +156,13 @@
 		std::vector<Running> waiting; /* answers that have not begun */
 	};
 
+	void Start(uint32_t host)
+	{
+		poison_init(&hosts_[host]);
+		poison_set_hosts(&hosts_[host], host * 1234567ULL,
+				 (uint32_t)hosts_.size());
+	}
+
 	void At(int64_t at_us, std::function<void()> run)
 	{
 		events_.push({at_us, order_++, std::move(run)});
@@ -218,8 +225,8 @@
 		if (!r.poison && IsLate())
 			sound_++;
 		Judge(host);
-		if (poison_blocked_us(&hosts_[host], r.keys.data(),
-				      (uint32_t)r.keys.size(), now_us_)) {
+		if (poison_admit_us(&hosts_[host], r.keys.data(),
+				    (uint32_t)r.keys.size(), now_us_)) {
 			if (!r.poison && IsLate())
 				sound_refused_++;
 			return;
@@ -407,6 +414,18 @@
 	{"deadly_only_65_hosts", DEADLY_ONLY, 65, 90, 3, 80, 0.03},
 };
 
+/* Guards against requests that all hosts let through when a block ends. */
+TEST(PoisonFleet, SendsOneRequestAfterABlock)
+{
+	for (uint32_t seed = 1; seed <= 5; seed++) {
+		Fleet f({"", DEADLY_AFTER_SHARED, 20, 60, 100, 5, 0}, seed);
+
+		f.Run(150 * kSecond);
+		EXPECT_LE(f.late(), kLateMax)
+			<< "seed " << seed << ", " << f.crashes() << " crashes";
+	}
+}
+
 /* Guards against a block of parts that broke at many endpoints by chance. */
 TEST(PoisonFleet, ALossOfEndpointsBlocksNothing)
 {
--- a/pkg/poison/test/poison_test.cc
+++ b/pkg/poison/test/poison_test.cc
@@ -59,6 +59,13 @@
 					 now_us) > 0;
 	}
 
+	/* A new request at this host. */
+	bool Admits(const Keys &k)
+	{
+		return poison_admit_us(&p, k.data(), (uint32_t)k.size(),
+				       now_us) == 0;
+	}
+
 	void Tell(Host &other)
 	{
 		struct poison_report r[POISON_ENTRIES_MAX];
@@ -291,6 +298,55 @@
 	EXPECT_TRUE(a.Blocks({1, 200}));
 }
 
+/* Guards against all hosts that send what crashes endpoints at the moment at
+ * which the block ends. */
+TEST_F(Poison, HostsTakeTurnsAfterABlock)
+{
+	std::vector<Host> hosts(8, Host(now_us));
+	Host *sender = nullptr;
+	uint32_t sent = 0;
+
+	for (uint32_t i = 0; i < hosts.size(); i++)
+		poison_set_hosts(&hosts[i].p, i * 1234567ULL + 99, 8);
+	for (uint64_t i = 0; i < 3; i++)
+		hosts[0].Break({1, 100 + i}, i);
+	for (Host &h : hosts)
+		hosts[0].Tell(h);
+	now_us += 60 * kSecond;
+	for (int i = 0; i < 24 * 40; i++, now_us += 3 * kSecond / 40)
+		for (Host &h : hosts) {
+			if (!h.Admits({1, 1000 + (uint64_t)i}))
+				continue;
+			sender = &h;
+			sent++;
+		}
+	EXPECT_GE(sent, 8u);
+	EXPECT_LE(sent, 25u);
+	ASSERT_NE(sender, nullptr);
+	sender->Break({1, 200}, 10);
+	for (Host &h : hosts) {
+		sender->Tell(h);
+		EXPECT_TRUE(h.Blocks({1, 300}));
+	}
+}
+
+TEST_F(Poison, AnAnswerAfterABlockLetsAllThrough)
+{
+	for (uint64_t i = 0; i < 3; i++)
+		a.Break({1, 100 + i}, i);
+	a.Tell(b);
+	now_us += 60 * kSecond;
+	EXPECT_TRUE(a.Admits({1, 200}));
+	EXPECT_FALSE(a.Admits({1, 201}));
+	now_us += kSecond;
+	a.Answer({1, 200});
+	a.Tell(b);
+	for (uint64_t i = 0; i < 10; i++) {
+		EXPECT_TRUE(a.Admits({1, 300 + i}));
+		EXPECT_TRUE(b.Admits({1, 300 + i}));
+	}
+}
+
 /* Guards against callers that are refused for a minute since a network failure
  * broke their connections. */
 TEST_F(Poison, ABlockIsShortIfNoEndpointCrashed)
