fleet: an endpoint whose entry lapses returns as it was

Cause: the entry's removal dropped the endpoint with its limit, its rate window, its health and the count of requests that still ran there; its return made a new one. Change: a removed endpoint is remembered for ten minutes and restored by an entry of the same start and address. Ruled out: a table of limits beside the fleet, since load and health are lost the same way.

--- a/cmd/figbend/gateway/crash.c
+++ b/cmd/figbend/gateway/crash.c
@@ -59,13 +59,6 @@
 	return n + 1;
 }
 
-/* Names one start of an endpoint. */
-static uint64_t endpoint_key(const struct fleet_endpoint *e)
-{
-	return hash_bytes(namehash(e->entry.id), &e->entry.started_ms,
-			  sizeof(e->entry.started_ms));
-}
-
 /* See gateway.h. */
 void crash_init(struct gateway *g)
 {
@@ -176,7 +169,7 @@
 	if (r->endpoint->entry.draining)
 		return;
 	n = fill_keys(&r->call, r->account, &r->conn->request.body, key);
-	brk.endpoint = endpoint_key(r->endpoint);
+	brk.endpoint = r->endpoint->start_key;
 	brk.at_us = now_us;
 	/* The store may show the crash before the connection breaks. */
 	brk.confirmed = !r->endpoint->listed;
@@ -215,7 +208,7 @@
 void crash_confirm(struct gateway *g, const struct fleet_endpoint *e)
 {
 	uint32_t n =
-		poison_confirm(&g->poison, endpoint_key(e), gateway_now_us(g));
+		poison_confirm(&g->poison, e->start_key, gateway_now_us(g));
 
 	if (n)
 		logline(LOG_WARNING, "endpoint_crashed",
--- a/pkg/fleet/fleet.c
+++ b/pkg/fleet/fleet.c
@@ -18,6 +18,8 @@
 /* Weights of the newest value in the exponential averages. */
 #define FAILURE_RATE_WEIGHT 0.15
 #define LATENCY_WEIGHT 0.2
+/* How long a removed endpoint is remembered. */
+#define REMEMBER_US 600000000LL
 /* Lowest limit of an endpoint that is kept: its answers tell when it ends. */
 #define LIMIT_MIN_MILLI 100
 
@@ -25,6 +27,7 @@
 {
 	memset(f, 0, sizeof(*f));
 	TAILQ_INIT(&f->list);
+	TAILQ_INIT(&f->removed);
 	strncpy(f->local_domain, domain, sizeof(f->local_domain) - 1);
 	f->hosts = 1;
 	f->random = seed * 2 + 1;
@@ -47,13 +50,32 @@
 	e->listed = false;
 	TAILQ_REMOVE(&f->list, e, link);
 	f->n_endpoints--;
+}
+
+static void move_to_removed(struct fleet *f, struct fleet_endpoint *e,
+			    int64_t now_us)
+{
+	unlist(f, e);
+	e->removed_us = now_us;
+	TAILQ_INSERT_TAIL(&f->removed, e, link);
+}
+
+static void forget(struct fleet *f, struct fleet_endpoint *e)
+{
+	TAILQ_REMOVE(&f->removed, e, link);
 	fleet_unref(e);
 }
 
 void fleet_finish(struct fleet *f)
 {
-	while (!TAILQ_EMPTY(&f->list))
-		unlist(f, TAILQ_FIRST(&f->list));
+	struct fleet_endpoint *e;
+
+	while ((e = TAILQ_FIRST(&f->list)) != NULL) {
+		unlist(f, e);
+		fleet_unref(e);
+	}
+	while (!TAILQ_EMPTY(&f->removed))
+		forget(f, TAILQ_FIRST(&f->removed));
 }
 
 struct fleet_endpoint *fleet_find(struct fleet *f, const char *id)
@@ -66,6 +88,47 @@
 	return NULL;
 }
 
+static void list(struct fleet *f, struct fleet_endpoint *e)
+{
+	e->listed = true;
+	TAILQ_INSERT_TAIL(&f->list, e, link);
+	f->n_endpoints++;
+}
+
+static uint64_t hash_start(const struct fleet_entry *entry)
+{
+	char text[CALL_ID_BYTES + 24];
+
+	snprintf(text, sizeof(text), "%s %lld", entry->id,
+		 (long long)entry->started_ms);
+	return namehash(text);
+}
+
+/* Returns true if the entry is of the endpoint's own start. */
+static bool is_same_start(const struct fleet_endpoint *e,
+			  const struct fleet_entry *entry)
+{
+	return strcmp(e->entry.id, entry->id) == 0 &&
+	       e->entry.started_ms == entry->started_ms &&
+	       e->entry.addr.sin_addr.s_addr == entry->addr.sin_addr.s_addr &&
+	       e->entry.addr.sin_port == entry->addr.sin_port;
+}
+
+/* Takes the endpoint of an entry back from the removed ones, or returns NULL. */
+static struct fleet_endpoint *restore(struct fleet *f,
+				      const struct fleet_entry *entry)
+{
+	struct fleet_endpoint *e;
+
+	TAILQ_FOREACH(e, &f->removed, link)
+	if (entry->started_ms && is_same_start(e, entry)) {
+		TAILQ_REMOVE(&f->removed, e, link);
+		list(f, e);
+		return e;
+	}
+	return NULL;
+}
+
 static struct fleet_endpoint *add_endpoint(struct fleet *f)
 {
 	struct fleet_endpoint *e = calloc(1, sizeof(*e));
@@ -73,8 +136,7 @@
 	if (!e)
 		return NULL;
 	e->refs = 1;
-	TAILQ_INSERT_TAIL(&f->list, e, link);
-	f->n_endpoints++;
+	list(f, e);
 	return e;
 }
 
@@ -86,20 +148,20 @@
 
 	if (e && offset < e->offset)
 		return NULL;
-	if (e &&
-	    (e->entry.started_ms != entry->started_ms ||
-	     e->entry.addr.sin_addr.s_addr != entry->addr.sin_addr.s_addr ||
-	     e->entry.addr.sin_port != entry->addr.sin_port)) {
+	if (e && !is_same_start(e, entry)) {
 		unlist(f, e);
+		fleet_unref(e);
 		e = NULL;
 	}
+	if (!e)
+		e = restore(f, entry);
 	if (!e)
 		e = add_endpoint(f);
 	if (!e)
 		return NULL;
 	e->entry = *entry;
 	e->key = namehash32(entry->id);
-	e->listed = true;
+	e->start_key = hash_start(entry);
 	e->offset = offset;
 	e->remove_at_us = 0;
 	if (entry->cold_remaining_ms)
@@ -116,7 +178,7 @@
 		return;
 	e->offset = offset;
 	if (at_us <= now_us)
-		unlist(f, e);
+		move_to_removed(f, e, now_us);
 	else if (!e->remove_at_us)
 		e->remove_at_us = at_us;
 }
@@ -128,8 +190,12 @@
 	for (e = TAILQ_FIRST(&f->list); e; e = next) {
 		next = TAILQ_NEXT(e, link);
 		if (e->remove_at_us && e->remove_at_us <= now_us)
-			unlist(f, e);
+			move_to_removed(f, e, now_us);
 	}
+	for (e = TAILQ_FIRST(&f->removed);
+	     e && now_us - e->removed_us >= REMEMBER_US;
+	     e = TAILQ_FIRST(&f->removed))
+		forget(f, e);
 }
 
 static bool domains_contain(const struct fleet_domains *d, const char *name)
--- a/pkg/fleet/fleet.h
+++ b/pkg/fleet/fleet.h
@@ -68,7 +68,9 @@
 	uint32_t refs;
 	struct fleet_entry entry;
 	uint32_t key;	      /* namehash32() of its id */
-	bool listed;	      /* still in the table */
+	uint64_t start_key;   /* hash of its id and the time of its start */
+	bool listed;	      /* in the table, not among the removed ones */
+	int64_t removed_us;   /* when it was removed */
 	int64_t remove_at_us; /* when to remove it, 0 if not scheduled */
 	uint64_t offset;      /* store offset of the last record applied */
 
@@ -118,6 +120,9 @@
 struct fleet {
 	struct fleet_endpoints list;
 	uint32_t n_endpoints;
+	/* Endpoints whose entry lapsed. They may still be running, cut off from
+	 * the store, and return as they were. */
+	struct fleet_endpoints removed;
 	struct fleet_domains withdrawn;	    /* by operators */
 	struct fleet_domains unreachable;   /* no host there is reachable */
 	char local_domain[CALL_NAME_BYTES]; /* this host's domain */
@@ -165,8 +170,9 @@
 struct fleet_endpoint *fleet_find(struct fleet *f, const char *id);
 /*
  * Inserts or updates the endpoint of an entry that was read at offset, and
- * cancels a scheduled removal. If its start time or address has changed, the
- * endpoint was restarted: a new one without load or health history replaces it.
+ * cancels a scheduled removal. An endpoint that was removed returns with all
+ * that is known of it. If its start time or address has changed, the endpoint
+ * was restarted: a new one without load or health history replaces it.
  * Returns the endpoint, or NULL if a later record was applied already or memory
  * is exhausted.
  */
@@ -181,7 +187,8 @@
  */
 void fleet_remove(struct fleet *f, const char *id, uint64_t offset,
 		  int64_t at_us, int64_t now_us);
-/* Removes the endpoints whose scheduled removal is due. */
+/* Removes the endpoints whose scheduled removal is due, and forgets those that
+ * were removed long ago. */
 void fleet_expire(struct fleet *f, int64_t now_us);
 /* Withdraws a domain's endpoints from service, or restores them. */
 void fleet_set_withdrawn(struct fleet *f, const char *domain, bool withdrawn);
--- a/pkg/fleet/test/fleet_test.cc
+++ b/pkg/fleet/test/fleet_test.cc
@@ -351,6 +351,43 @@
 	EXPECT_FALSE(fleet_is_limited(e));
 }
 
+/* Guards against a limit that is forgotten when the entry of an endpoint lapses:
+ * it may only be cut off from the store. */
+TEST_F(Fleet, AnEndpointReturnsAsItWas)
+{
+	struct fleet_endpoint *e = upsert("a", "d1", FLEET_DECODE);
+
+	fleet_record_limit(e, 1000, now_us);
+	fleet_request_start(e, 300, 0);
+	fleet_remove(&f, "a", ++offset, now_us, now_us);
+	EXPECT_EQ(fleet_find(&f, "a"), nullptr);
+	EXPECT_EQ(choose(FLEET_DECODE), nullptr);
+	now_us += 500000 * MS;
+	fleet_expire(&f, now_us);
+	EXPECT_EQ(upsert("a", "d1", FLEET_DECODE), e);
+	EXPECT_TRUE(e->listed);
+	EXPECT_TRUE(fleet_is_limited(e));
+	EXPECT_EQ(fleet_free_tokens(e, 1000), 700);
+	fleet_remove(&f, "a", ++offset, now_us, now_us);
+	e = upsert("a", "d1", FLEET_DECODE, false, 2);
+	EXPECT_FALSE(fleet_is_limited(e)) << "restarted";
+	EXPECT_EQ(fleet_free_tokens(e, 1000), 1000);
+}
+
+TEST_F(Fleet, ForgetsARemovedEndpointAfterAWhile)
+{
+	struct fleet_endpoint *e = fleet_ref(upsert("a", "d1"));
+
+	fleet_record_limit(e, 1000, now_us);
+	fleet_remove(&f, "a", ++offset, now_us, now_us);
+	EXPECT_EQ(e->refs, 2u);
+	now_us += 600000 * MS;
+	fleet_expire(&f, now_us);
+	EXPECT_EQ(e->refs, 1u);
+	EXPECT_FALSE(fleet_is_limited(upsert("a", "d1")));
+	fleet_unref(e);
+}
+
 TEST_F(Fleet, HundredsOfHostsShareTheRateOfAColdEndpoint)
 {
 	simulate_cold_endpoint(FLEET_PLAIN);
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -696,6 +696,28 @@
     await check_limit(d, plain_endpoints(d)[:1], "idempotent")
 
 
+async def test_keeps_to_the_limit_of_an_endpoint_whose_entry_lapses(d):
+    """Guards against a limit that is forgotten with the entry: the endpoint may
+    only be cut off from the store."""
+    await start_small(d)
+    e = plain_endpoints(d)[0]
+    e.limit = LIMIT
+    await send_for(d, 2, "idempotent")
+    named = time.monotonic()
+    load = asyncio.ensure_future(send_for(d, 8, "idempotent"))
+    while not load.done():
+        d.store.put("keyed.servers", e.name, None)
+        await asyncio.sleep(0.3)
+        d.store.put_json("keyed.servers", e.name, e.entry())
+        await asyncio.sleep(0.3)
+    await load
+    most = most_calls([t for t in e.call_times if t >= named], LIMIT_WINDOW_S)
+    assert 0 < most <= 1.5 * LIMIT * LIMIT_WINDOW_S + 5, most
+
+
+test_keeps_to_the_limit_of_an_endpoint_whose_entry_lapses.hosts = 6
+
+
 async def test_keeps_to_the_limits_of_model_endpoints(d):
     """The same at the prefill and decode stages, where reservations count."""
     await start_with_decoders(d, 4)
