gateway: hosts tell each other the limits that endpoints name

What callers saw: after an engine had ended its limit, hosts kept to it for seconds more: it answers each of them only now and then. A host that starts sends freely until its first answer.

--- a/cmd/figbend/gateway/gateway.h
+++ b/cmd/figbend/gateway/gateway.h
@@ -121,6 +121,8 @@
 	/* crash.c */
 	struct poison poison;
 	int64_t suspects_sent_us; /* last time to a few hosts */
+
+	int64_t limits_sent_us; /* limits.c: last time to a few hosts */
 };
 
 /*
@@ -254,6 +256,13 @@
 		       const struct directory_account *account,
 		       const struct h1_buf *body);
 
+/* limits.c: sends the limits that endpoints named to a few hosts, if it is time
+ * to. */
+void limits_send(struct gateway *g);
+/* Records the limits that another host, source, knows of. */
+void limits_apply(struct gateway *g, const struct fig_limits *l,
+		  const char *source);
+
 /* req.c: requests of callers; the handlers' ctx is the struct gateway. */
 void req_init(struct gateway *g);
 void req_on_request(void *ctx, struct h1_conn *c);
--- a/pkg/fleet/fleet.c
+++ b/pkg/fleet/fleet.c
@@ -88,6 +88,16 @@
 	return NULL;
 }
 
+struct fleet_endpoint *fleet_find_start(struct fleet *f, uint64_t start_key)
+{
+	struct fleet_endpoint *e;
+
+	TAILQ_FOREACH(e, &f->list, link)
+	if (e->start_key == start_key)
+		return e;
+	return NULL;
+}
+
 static void list(struct fleet *f, struct fleet_endpoint *e)
 {
 	e->listed = true;
--- a/pkg/fleet/fleet.h
+++ b/pkg/fleet/fleet.h
@@ -168,6 +168,8 @@
 void fleet_finish(struct fleet *f);
 /* Returns the listed endpoint with this id, or NULL. */
 struct fleet_endpoint *fleet_find(struct fleet *f, const char *id);
+/* Returns the listed endpoint with this start_key, or NULL. */
+struct fleet_endpoint *fleet_find_start(struct fleet *f, uint64_t start_key);
 /*
  * Inserts or updates the endpoint of an entry that was read at offset, and
  * cancels a scheduled removal. An endpoint that was removed returns with all
--- a/pkg/wire/fig_msg.x
+++ b/pkg/wire/fig_msg.x
@@ -26,7 +26,8 @@
 	FIG_RECORDS_GET = 18,
 	FIG_ROWS = 19,
 	FIG_DIGEST = 20,
-	FIG_SUSPECTS = 21
+	FIG_SUSPECTS = 21,
+	FIG_LIMITS = 22
 };
 
 /* Once an interval to hosts of the domain, over UDP; no reply. */
@@ -113,6 +114,20 @@
 	fig_suspect suspect<FIG_SUSPECTS_MAX>;
 };
 
+const FIG_LIMITS_MAX = 64;
+
+/* The limit that an endpoint named in its newest answer known to the sender. */
+struct fig_limit {
+	unsigned hyper endpoint; /* hash of its id and start */
+	unsigned int milli_per_s; /* 0: no limit any more */
+	unsigned int age_ms;
+};
+
+/* Now and then to a few hosts, over UDP; no reply. */
+struct fig_limits {
+	fig_limit limit<FIG_LIMITS_MAX>;
+};
+
 const FIG_ROOMS_MAX = 64;
 const FIG_GRANTS_MAX = 4096;
 
@@ -357,6 +372,8 @@
 	fig_digest digest;
 case FIG_SUSPECTS:
 	fig_suspects suspects;
+case FIG_LIMITS:
+	fig_limits limits;
 };
 
 union fig_reply switch (fig_kind kind) {
@@ -390,6 +407,8 @@
 	void;
 case FIG_SUSPECTS:
 	void;
+case FIG_LIMITS:
+	void;
 };
 
 /* What stands behind the RPC header: who sent it, and proof that it belongs. */
--- a/pkg/wire/gen/fig_msg_xdr.c
+++ b/pkg/wire/gen/fig_msg_xdr.c
@@ -265,6 +265,31 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fig_limit (XDR *xdrs, fig_limit *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->endpoint))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->milli_per_s))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fig_limits (XDR *xdrs, fig_limits *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->limit.limit_val, (u_int *) &objp->limit.limit_len, FIG_LIMITS_MAX,
+		sizeof (fig_limit), (xdrproc_t) xdr_fig_limit))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fig_need (XDR *xdrs, fig_need *objp)
 {
@@ -926,6 +951,10 @@
 		 if (!xdr_fig_suspects (xdrs, &objp->fig_call_u.suspects))
 			 return FALSE;
 		break;
+	case FIG_LIMITS:
+		 if (!xdr_fig_limits (xdrs, &objp->fig_call_u.limits))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
@@ -986,6 +1015,8 @@
 		break;
 	case FIG_SUSPECTS:
 		break;
+	case FIG_LIMITS:
+		break;
 	default:
 		return FALSE;
 	}
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -718,6 +718,36 @@
 test_keeps_to_the_limit_of_an_endpoint_whose_entry_lapses.hosts = 6
 
 
+def hosts_without_limit(d):
+    """Counts the hosts that logged the end of a limit."""
+    n = 0
+    for h in d.hosts:
+        with open(h.log_path) as f:
+            n += any("event=endpoint_limit" in line and
+                     "milli_per_s=0" in line for line in f)
+    return n
+
+
+async def test_hosts_tell_each_other_that_a_limit_has_ended(d):
+    """Guards against hosts that keep to a limit for long after it has ended: an
+    endpoint with a low limit answers each of them only now and then."""
+    await start_small(d)
+    e = plain_endpoints(d)[0]
+    e.limit = 1
+    await send_for(d, 4, "idempotent")
+    e.limit = None
+    for _ in range(30):
+        await send_for(d, 1, "idempotent")
+        if hosts_without_limit(d):
+            break
+    await send_for(d, 3, "idempotent")
+    n = hosts_without_limit(d)
+    assert n == len(d.hosts), f"{n} hosts know that the limit has ended"
+
+
+test_hosts_tell_each_other_that_a_limit_has_ended.hosts = 6
+
+
 async def test_keeps_to_the_limits_of_model_endpoints(d):
     """The same at the prefill and decode stages, where reservations count."""
     await start_with_decoders(d, 4)
