gateway: an old refusal on a kept connection is no answer

What callers saw: 503 "not run" for calls that ran, and calls that may not be repeated ran three times, if an endpoint wrote an earlier refusal once more on a kept connection (reported by other operators). Cause: a refusal without a request id was taken for the answer to whatever was sent last, and one with an id for the answer to the next attempt of the same request on the same connection. Evidence: test/pools, stand-ins that write their last refusal again: 3 executions of one call, at plain services and at decode engines after a refused reservation. Change: one function reads the head of each answer. An answer without an id counts only on a connection that no request used before, else the outcome is unknown and the connection is closed; after a refusal a connection is not used again. Ruled out: requests sent again on a new connection only: a copy without an id can also meet another request. Before: both new tests failed.

--- a/cmd/figbend/gateway/plain.c
+++ b/cmd/figbend/gateway/plain.c
@@ -20,23 +20,27 @@
 static void attempt_failed(struct req *r, enum fleet_outcome outcome,
 			   bool may_have_executed, const char *reason);
 
+static void fail_exchange(struct req *r, const char *reason)
+{
+	h1_exchange_cancel(&r->exchange);
+	req_set_step_timer(r, 0);
+	attempt_failed(r, FLEET_FAILED, true, reason);
+}
+
 static enum h1_verdict on_head(void *ctx, const struct h1_head *h)
 {
 	struct req *r = ctx;
 	struct call_response response;
 
-	adapter_read_response(h, &response);
-	if (response.request_id &&
-	    strcmp(response.request_id, r->call.id) != 0) {
-		stats_add(&r->g->stats, STATS_RESPONSES_MISMATCHED, 1);
-		logline(LOG_WARNING, "answer_foreign",
-			"request=%s endpoint=%s answers=%s", r->call.id,
-			r->endpoint->entry.id, response.request_id);
+	switch (req_read_answer(r, r->endpoint, h, &response)) {
+	case REQ_ANSWER_OWN:
+		break;
+	case REQ_ANSWER_FOREIGN:
+		return H1_DISCARD;
+	case REQ_ANSWER_UNKNOWN:
+		fail_exchange(r, REQ_UNKNOWN_REASON);
 		return H1_DISCARD;
 	}
-	req_record_reported(r, r->endpoint, &response);
-	r->status = h->status;
-	r->not_executed = response.not_executed;
 	r->has_signature = response.signature && !response.encoded;
 	h1_buf_finish(&r->fields);
 	req_drop_response(r);
@@ -49,11 +53,8 @@
 	struct req *r = ctx;
 	const char *reason = req_buffer_response(r, p, n);
 
-	if (!reason)
-		return;
-	h1_exchange_cancel(&r->exchange);
-	req_set_step_timer(r, 0);
-	attempt_failed(r, FLEET_FAILED, true, reason);
+	if (reason)
+		fail_exchange(r, reason);
 }
 
 static void on_end(void *ctx, enum h1_outcome outcome, const char *reason)
--- a/cmd/figbend/gateway/pools.c
+++ b/cmd/figbend/gateway/pools.c
@@ -174,29 +174,38 @@
 		e->running, e->peer_running);
 }
 
+/* Ends the exchange of a step, as failed. */
+static void fail_step(struct req *r, const char *reason)
+{
+	h1_exchange_cancel(&r->exchange);
+	req_set_step_timer(r, 0);
+	if (r->step == REQ_PREFILLING)
+		prefill_failed(r, FLEET_FAILED, reason);
+	else
+		reservation_denied(r, FLEET_FAILED, reason);
+}
+
 static enum h1_verdict on_step_head(void *ctx, const struct h1_head *h)
 {
 	struct req *r = ctx;
 	struct call_response response;
 
-	adapter_read_response(h, &response);
-	/* Calls for a reservation do not carry the caller's request id. */
-	if (r->step == REQ_PREFILLING && response.request_id &&
-	    strcmp(response.request_id, r->call.id) != 0) {
-		stats_add(&r->g->stats, STATS_RESPONSES_MISMATCHED, 1);
+	switch (req_read_answer(r,
+				r->step == REQ_PREFILLING ? r->prefill_endpoint
+							  : r->endpoint,
+				h, &response)) {
+	case REQ_ANSWER_OWN:
+		break;
+	case REQ_ANSWER_FOREIGN:
+		return H1_DISCARD;
+	case REQ_ANSWER_UNKNOWN:
+		fail_step(r, REQ_UNKNOWN_REASON);
 		return H1_DISCARD;
 	}
-	req_record_reported(r,
-			    r->step == REQ_PREFILLING ? r->prefill_endpoint
-						      : r->endpoint,
-			    &response);
-	r->status = h->status;
-	r->not_executed = response.not_executed;
 	req_drop_response(r);
 	return H1_ACCEPT;
 }
 
-/* Ends the exchange of a step whose response is too large, as failed. */
 static void on_step_body(void *ctx, const void *p, size_t n)
 {
 	struct req *r = ctx;
@@ -204,14 +213,8 @@
 
 	if (!reason && h1_buf_len(&r->body) > STEP_RESPONSE_MAX_BYTES)
 		reason = "response too large";
-	if (!reason)
-		return;
-	h1_exchange_cancel(&r->exchange);
-	req_set_step_timer(r, 0);
-	if (r->step == REQ_PREFILLING)
-		prefill_failed(r, FLEET_FAILED, reason);
-	else
-		reservation_denied(r, FLEET_FAILED, reason);
+	if (reason)
+		fail_step(r, reason);
 }
 
 static void reservation_denied(struct req *r, enum fleet_outcome outcome,
@@ -433,20 +436,27 @@
 	choose_again(r);
 }
 
+static void fail_decode(struct req *r, const char *reason)
+{
+	h1_exchange_cancel(&r->exchange);
+	req_set_step_timer(r, 0);
+	decode_failed(r, FLEET_FAILED, true, reason);
+}
+
 static enum h1_verdict on_decode_head(void *ctx, const struct h1_head *h)
 {
 	struct req *r = ctx;
 	struct call_response response;
 
-	adapter_read_response(h, &response);
-	if (response.request_id &&
-	    strcmp(response.request_id, r->call.id) != 0) {
-		stats_add(&r->g->stats, STATS_RESPONSES_MISMATCHED, 1);
+	switch (req_read_answer(r, r->endpoint, h, &response)) {
+	case REQ_ANSWER_OWN:
+		break;
+	case REQ_ANSWER_FOREIGN:
+		return H1_DISCARD;
+	case REQ_ANSWER_UNKNOWN:
+		fail_decode(r, REQ_UNKNOWN_REASON);
 		return H1_DISCARD;
 	}
-	req_record_reported(r, r->endpoint, &response);
-	r->status = h->status;
-	r->not_executed = response.not_executed;
 	r->has_signature = response.signature && !response.encoded;
 	req_drop_response(r);
 	if (!r->response_started) {
@@ -545,11 +555,8 @@
 	}
 	if (count < 0)
 		reason = "event id out of order, or event too large";
-	if (!reason)
-		return;
-	h1_exchange_cancel(&r->exchange);
-	req_set_step_timer(r, 0);
-	decode_failed(r, FLEET_FAILED, true, reason);
+	if (reason)
+		fail_decode(r, reason);
 }
 
 static void stream_ended(struct req *r)
--- a/cmd/figbend/gateway/req.c
+++ b/cmd/figbend/gateway/req.c
@@ -436,8 +436,9 @@
 	return error;
 }
 
-void req_record_reported(struct req *r, struct fleet_endpoint *e,
-			 const struct call_response *response)
+/* Records the load and the limit that an endpoint reports in an answer. */
+static void record_reported(struct req *r, struct fleet_endpoint *e,
+			    const struct call_response *response)
 {
 	int64_t now_us = gateway_now_us(r->g);
 
@@ -453,6 +454,46 @@
 			e->limit.milli_per_s, e->running, e->peer_running);
 }
 
+/* Calls for a reservation carry no request id. */
+static enum req_answer identify(const struct req *r, const char *request_id)
+{
+	bool has_id = r->step != REQ_RESERVING;
+
+	if (!request_id)
+		return has_id && !h1_exchange_is_first(&r->exchange)
+			       ? REQ_ANSWER_UNKNOWN
+			       : REQ_ANSWER_OWN;
+	return has_id && strcmp(request_id, r->call.id) == 0
+		       ? REQ_ANSWER_OWN
+		       : REQ_ANSWER_FOREIGN;
+}
+
+enum req_answer req_read_answer(struct req *r, struct fleet_endpoint *e,
+				const struct h1_head *h,
+				struct call_response *out)
+{
+	enum req_answer answer;
+
+	adapter_read_response(h, out);
+	answer = identify(r, out->request_id);
+	if (answer != REQ_ANSWER_OWN) {
+		stats_add(&r->g->stats, STATS_RESPONSES_MISMATCHED, 1);
+		logline(LOG_WARNING, "answer_foreign",
+			"request=%s endpoint=%s step=%s answers=%s status=%u",
+			r->call.id, e->entry.id, step_names[r->step],
+			out->request_id ? out->request_id : "-", h->status);
+		return answer;
+	}
+	record_reported(r, e, out);
+	r->status = h->status;
+	r->not_executed = out->not_executed;
+	/* A second copy of a refusal cannot be told from one of the next
+	 * attempt of the same request. */
+	if (out->not_executed)
+		h1_exchange_close_after(&r->exchange);
+	return REQ_ANSWER_OWN;
+}
+
 static void on_deadline(struct ev_loop *loop, ev_timer *w, int events)
 {
 	struct req *r = w->data;
--- a/cmd/figbend/gateway/req.h
+++ b/cmd/figbend/gateway/req.h
@@ -166,9 +166,25 @@
 int req_send(struct req *r, struct fleet_endpoint *e, enum call_phase phase,
 	     const struct h1_exchange_handlers *h);
 
-/* Records the load and the limit that an endpoint reports in an answer. */
-void req_record_reported(struct req *r, struct fleet_endpoint *e,
-			 const struct call_response *response);
+/* To which request a response belongs. */
+enum req_answer {
+	REQ_ANSWER_OWN,	    /* to the present exchange */
+	REQ_ANSWER_FOREIGN, /* to another one */
+	/* It names no request, and the connection was used before: the endpoint
+	 * may have written an earlier response once more. */
+	REQ_ANSWER_UNKNOWN,
+};
+
+#define REQ_UNKNOWN_REASON "response without the id of a request"
+
+/*
+ * Reads the head of a response of e. If it is the request's own, sets its status
+ * and not_executed and records what the endpoint reports of itself; after a
+ * refusal the connection is not used again.
+ */
+enum req_answer req_read_answer(struct req *r, struct fleet_endpoint *e,
+				const struct h1_head *h,
+				struct call_response *out);
 
 /* plain.c: services other than model engines. */
 
--- a/pkg/h1/client.c
+++ b/pkg/h1/client.c
@@ -417,6 +417,7 @@
 	x->ctx = ctx;
 	x->conn = c;
 	c->exchange = x;
+	c->requests++;
 	c->sent_bytes = 0;
 	c->unrelated_bytes = 0;
 	c->discarding = false;
@@ -441,6 +442,17 @@
 	return x->conn && x->conn->sent_bytes > 0;
 }
 
+bool h1_exchange_is_first(const struct h1_exchange *x)
+{
+	return x->conn && x->conn->requests == 1;
+}
+
+void h1_exchange_close_after(struct h1_exchange *x)
+{
+	if (x->conn)
+		x->conn->head.close = true;
+}
+
 static void on_sweep(struct ev_loop *loop, ev_timer *w, int events)
 {
 	struct h1_client *client = w->data;
--- a/pkg/h1/h1.h
+++ b/pkg/h1/h1.h
@@ -369,6 +369,7 @@
 	bool in_handler;   /* a handler runs */
 	bool free_pending; /* canceled in a handler; freed after it returns */
 	struct h1_body body;
+	uint32_t requests;	      /* started on it, this one included */
 	struct h1_exchange *exchange; /* NULL if idle */
 	double idle_until_s;	      /* loop time; not reused after this */
 };
@@ -416,6 +417,14 @@
 /* Returns true if a running exchange has sent a byte of its request. */
 bool h1_exchange_sent(const struct h1_exchange *x);
 
+/*
+ * Returns true if no request was sent before on the connection of a running
+ * exchange: a response on it cannot belong to an earlier one.
+ */
+bool h1_exchange_is_first(const struct h1_exchange *x);
+/* Closes the connection when the exchange, of which the head handler runs, ends. */
+void h1_exchange_close_after(struct h1_exchange *x);
+
 /* Parses "IPV4:PORT". Returns 0 or -EINVAL. */
 int h1_parse_addr(const char *text, struct sockaddr_in *out);
 
--- a/pkg/h1/test/h1_socket_test.cc
+++ b/pkg/h1/test/h1_socket_test.cc
@@ -253,6 +253,9 @@
 		const char *id = h1_get_field(h, "Id");
 
 		c->ids.push_back(id ? id : "");
+		c->first = h1_exchange_is_first(&c->x);
+		if (c->close_after)
+			h1_exchange_close_after(&c->x);
 		return id && c->discard_id == id ? H1_DISCARD : H1_ACCEPT;
 	}
 	static void on_body(void *ctx, const void *p, size_t n)
@@ -265,6 +268,7 @@
 		((Client *)ctx)->outcome = outcome;
 		((Client *)ctx)->reason = reason;
 	}
+	bool first = false, close_after = false;
 	struct h1_exchange_handlers handlers = {on_head, on_body, on_end};
 
 	Client()
@@ -338,6 +342,36 @@
 	close(fd);
 }
 
+TEST(Client, TellsWhetherAnEarlierRequestUsedTheConnection)
+{
+	Client c;
+
+	c.start();
+	int fd = c.accept_request();
+	EXPECT_TRUE(h1_exchange_is_first(&c.x));
+	c.send_bytes(fd, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+	EXPECT_TRUE(c.first);
+	EXPECT_FALSE(h1_exchange_is_first(&c.x)) << "not running";
+	c.start();
+	c.send_bytes(fd, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+	EXPECT_FALSE(c.first);
+	close(fd);
+}
+
+TEST(Client, ClosesTheConnectionIfItsUserAsksForIt)
+{
+	Client c;
+
+	c.close_after = true;
+	c.start();
+	int fd = c.accept_request();
+	c.send_bytes(fd, "HTTP/1.1 503 X\r\nContent-Length: 2\r\n\r\nno");
+	EXPECT_EQ(c.outcome, H1_COMPLETE);
+	EXPECT_EQ(c.body, "no");
+	EXPECT_EQ(c.client.conns_n, 0u);
+	close(fd);
+}
+
 TEST(Client, ClosesConnectionAfterUnexpectedBytes)
 {
 	Client c;
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -127,6 +127,35 @@
         assert r.status == 200 and r.body == f"answer to {rid}".encode()
 
 
+def check_not_executed_twice(d, rid, r):
+    n = executions(d, rid)
+    assert n <= 1, f"executed {n} times"
+    assert r.status != 503 or not n, "refused, but executed"
+
+
+async def test_does_not_take_an_old_refusal_for_an_answer(d):
+    """Guards against a refusal that an endpoint writes once more on a kept
+    connection: the request that is told so may be running."""
+    await start_small(d)
+    for anonymous in (False, True):
+        for e in plain_endpoints(d):
+            e.anonymous_refusals = anonymous
+            e.faults = ["overloaded"] + ["old_refusal"] * 8
+        for _ in range(8):
+            check_not_executed_twice(d, *await d.request("non_idempotent"))
+
+
+async def test_does_not_take_an_old_refusal_for_an_answer_of_an_engine(d):
+    """The same where a reservation was refused, which has no request id."""
+    await start_small(d)
+    for e in decode_endpoints(d):
+        e.holds_to_refuse = 1
+        e.faults = ["old_refusal"] * 4
+    for _ in range(4):
+        check_not_executed_twice(
+            d, *await d.request("stream", tokens=(3000, 80)))
+
+
 async def test_ends_a_head_without_end_at_once(d):
     await start_small(d)
     for fault in ("endless_head", "endless_interim"):
--- a/test/pools/standins.py
+++ b/test/pools/standins.py
@@ -189,6 +189,8 @@
     "overloaded"      503, not executed
     "hang"            never responds
     "late"            504: the deadline passed before it began
+    "old_refusal"     the last refusal on the connection once more, if there was
+                      one, before the response
     "reset"           connection reset; executed, except for a prefill
     "handle_missing"  the prefill result cannot be imported
     Plain services only:
@@ -219,6 +221,9 @@
         self.work_s, self.event_interval_s = work_s, event_interval_s
         self.started_ms = 1700000000000
         self.faults = []
+        self.anonymous_refusals = False  # without an Attempt-Id
+        self.holds_to_refuse = 0
+        self.refusals = {}  # connection: its last refusal
         self.limit = None  # named in all responses, in requests a second
         self.call_times = []  # of all requests, control calls included
         self.received = []  # (request id, headers, target, body, fault)
@@ -232,6 +237,14 @@
         return http_response(status, body,
                              {**(fields or {}), **self.limit_fields()})
 
+    def refuse(self, writer, rid=None):
+        fields = {"Not-Executed": "1"}
+        if rid and not self.anonymous_refusals:
+            fields["Attempt-Id"] = rid
+        self.refusals[writer] = self.http_response(503, b"", fields)
+        writer.write(self.refusals[writer])
+        return True
+
     def limit_fields(self):
         return {} if self.limit is None else {"Server-Limit": str(self.limit)}
 
@@ -275,9 +288,10 @@
         return await self.execute(reader, writer, target, headers, body)
 
     def reserve(self, writer, request):
-        if self.used_tokens() + request["TokenCount"] > self.kv_capacity_tokens:
-            writer.write(self.http_response(503, b"", {"Not-Executed": "1"}))
-            return True
+        if (self.holds_to_refuse or self.used_tokens() + request["TokenCount"]
+                > self.kv_capacity_tokens):
+            self.holds_to_refuse = max(0, self.holds_to_refuse - 1)
+            return self.refuse(writer)
         reservation = "%016x" % random.getrandbits(64)
         self.reservations[reservation] = (
             request["TokenCount"],
@@ -294,9 +308,9 @@
                     "Instance-Signature": f"{self.name}.{rid}",
                     "Instance-Load": f"{len(self.running)},0,{self.slots}"}
         if fault == "overloaded" or len(self.running) >= self.slots:
-            writer.write(self.http_response(503, b"", {"Not-Executed": "1",
-                                                  "Attempt-Id": rid}))
-            return True
+            return self.refuse(writer, rid)
+        if fault == "old_refusal":
+            writer.write(self.refusals.get(writer, b""))
         if fault == "hang":
             await asyncio.sleep(3600)
         if fault == "late":
@@ -324,9 +338,7 @@
                 {"Attempt-Id": rid}))
             return True
         if "kv-source" in headers and not self.import_prefill(headers, rid):
-            writer.write(self.http_response(503, b"", {"Not-Executed": "1",
-                                                  "Attempt-Id": rid}))
-            return True
+            return self.refuse(writer, rid)
         self.reservations.pop(headers.get("kv-hold", ""), None)
         if "token-usage" in headers:
             return await self.stream(reader, writer, headers, rid, identity,
