pools: broken streams, heads and streams without a frame

Not reproduced: the error's text is not passed on, the stream ends as broken or is resumed, no 200 follows a broken head. The tests stay as guards.

--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -238,6 +238,50 @@
     assert len(executed) == 2, "not resumed at the other endpoint"
 
 
+async def test_resumes_a_stream_without_length_or_chunks(d):
+    """Such a stream ends with its connection; within an event it broke off."""
+    await start_small(d)
+    for fault in ("until_close", "until_close_truncate_event"):
+        for e in decode_endpoints(d):
+            e.faults = [fault]
+        rid, r = await d.request("resumable", tokens=(3000, 80))
+        assert (r.status, r.complete) == (200, True), (fault, r.status)
+        assert r.body == expected_events(rid, 10), (fault, r.body)
+
+
+async def test_never_puts_an_error_into_a_stream(d):
+    """Guards against an error of the next endpoint, after a stream broke off,
+    that callers get as events, or as the end of a complete stream."""
+    await start_small(d)
+    for second in ("error", "half_head", "overloaded"):
+        first, other = decode_endpoints(d)
+        first.faults = other.faults = []
+        rid, r = await d.request("resumable", tokens=(3000, 80))
+        assert r.body == expected_events(rid, 10)
+        for e in (first, other):
+            e.faults = ["truncate_event"] + [second] * 4
+        rid, r = await d.request("resumable", tokens=(3000, 80))
+        assert r.status == 200, (second, r.status)
+        assert r.body in (expected_events(rid, 3), expected_events(rid, 10)), \
+            (second, r.body)
+        assert not r.complete or r.body == expected_events(rid, 10), second
+        await asyncio.sleep(1)  # ejections end
+
+
+async def test_a_response_cut_in_its_head_is_no_success(d):
+    """Guards against a response whose head broke off that callers get as 200."""
+    await start_small(d)
+    for route, tokens in (("non_idempotent", None), ("idempotent", None),
+                          ("stream", (3000, 80)), ("resumable", (3000, 80))):
+        for e in d.endpoints:
+            e.faults = ["half_head"] * 4
+        rid, r = await d.request(route, tokens=tokens)
+        assert r.status in (0, 502, 503), (route, r.status)
+        if r.status == 503:
+            assert not executions(d, rid), route
+        await asyncio.sleep(1)  # ejections end
+
+
 async def test_closes_a_stream_that_is_not_resumable(d):
     await start_small(d)
     for e in d.endpoints:
--- a/test/pools/standins.py
+++ b/test/pools/standins.py
@@ -189,6 +189,8 @@
     "overloaded"      503, not executed
     "hang"            never responds
     "late"            504: the deadline passed before it began
+    "half_head"       closes within the head of the response; executed
+    "error"           500 with a text; executed
     "old_refusal"     the last refusal on the connection once more, if there was
                       one, before the response
     "reset"           connection reset; executed, except for a prefill
@@ -206,6 +208,8 @@
     "truncate_event"  closes within the fourth event, unless resumed
     "comments"        only comments after the third event, unless resumed
     "only_comment"    ends after a comment, without an event
+    "until_close"     neither a length nor chunks: the connection ends it
+    "until_close_truncate_event"  the same, and closes within the fourth event
 
     A body that contains "poison" crashes the endpoint, except at the prefill
     stage, and so does a prompt with the part "dead".
@@ -323,9 +327,16 @@
                 await asyncio.sleep(0.1)
             self.restart = asyncio.ensure_future(self.crash())
             return False
-        if fault == "reset":
+        if fault in ("reset", "half_head", "error"):
             if headers.get("serving-stage") != "prefill":
                 self.executed.append(rid)
+            if fault == "error":
+                writer.write(self.http_response(500, b"error text", identity))
+                return True
+            if fault == "half_head":
+                writer.write(b"HTTP/1.1 200 OK\r\nInstance-Signature: x\r\nCon")
+                await writer.drain()
+                return False
             writer.transport.abort()
             return False
         if headers.get("serving-stage") == "prefill":
@@ -430,9 +441,11 @@
         self.running[rid] = prompt + out
         disconnected = asyncio.ensure_future(reader.read(1))
         try:
+            chunked = not (fault or "").startswith("until_close")
             writer.write(("HTTP/1.1 200 OK\r\n"
-                          "Content-Type: text/event-stream\r\n"
-                          "Transfer-Encoding: chunked\r\n"
+                          "Content-Type: text/event-stream\r\n" +
+                          ("Transfer-Encoding: chunked\r\n" if chunked
+                           else "") +
                           "Connection: close\r\n" +
                           "".join(f"{k}: {v}\r\n" for k, v in
                                   {**identity, **self.limit_fields()}.items()) +
@@ -451,15 +464,15 @@
                     if disconnected.done() or writer.transport.is_closing():
                         return False
                 event = f"id: {i}\ndata: {rid} {i}\n\n".encode()
-                if fault == "truncate_event" and not last_event_id and \
-                        i == 4:
-                    part = event[:-4]
-                    writer.write(b"%x\r\n%s\r\n" % (len(part), part))
-                    await writer.drain()
-                    return False
-                writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+                truncate = ((fault or "").endswith("truncate_event") and
+                            not last_event_id and i == 4)
+                part = event[:-4] if truncate else event
+                writer.write(b"%x\r\n%s\r\n" % (len(part), part) if chunked
+                             else part)
                 await writer.drain()
-            writer.write(b"0\r\n\r\n")
+                if truncate:
+                    return False
+            writer.write(b"0\r\n\r\n" if chunked else b"")
             await writer.drain()
             self.completed.append(rid)
         finally:
