pools: a stream that ends within an event is no success of its endpoint

The attempt was recorded as a success and then as a failure, so that the failures of an endpoint that breaks off every stream never added up to an ejection.

--- a/cmd/figbend/gateway/pools.c
+++ b/cmd/figbend/gateway/pools.c
@@ -563,13 +563,13 @@
 {
 	int64_t now_us = gateway_now_us(r->g);
 
-	fleet_record_outcome(r->endpoint, FLEET_SUCCESS, now_us - r->sent_us,
-			     now_us);
 	if (h1_buf_len(&r->events.partial)) {
 		decode_failed(r, FLEET_FAILED, true,
 			      "stream ended within an event");
 		return;
 	}
+	fleet_record_outcome(r->endpoint, FLEET_SUCCESS, now_us - r->sent_us,
+			     now_us);
 	if (!r->response_started) {
 		r->response_started = true;
 		h1_stream_start(r->conn, r->status, h1_buf_data(&r->fields));
