gateway: heed what endpoints say of themselves

Cause: only the limit was read of what answers say. Change: Server-Leaving in any answer takes the endpoint out while its start lives, also over a lapse of its entry, on all hosts; 503 with Retry-After keeps this host away for so long; if nothing can serve a request in time by what endpoints said, it is refused at once with the earliest time. Answers with 421 are of another endpoint and count for nothing.

--- a/cmd/figbend/daemon.c
+++ b/cmd/figbend/daemon.c
@@ -88,7 +88,7 @@
 	case FIG_ROWS:
 	case FIG_DIGEST:
 	case FIG_SUSPECTS:
-	case FIG_LIMITS:
+	case FIG_NOTICES:
 		break;
 	}
 	return -EPROTO;
@@ -123,7 +123,7 @@
 	case FIG_ROWS:
 	case FIG_DIGEST:
 	case FIG_SUSPECTS:
-	case FIG_LIMITS:
+	case FIG_NOTICES:
 		break;
 	}
 }
--- a/cmd/figbend/gateway/cleanup.c
+++ b/cmd/figbend/gateway/cleanup.c
@@ -34,6 +34,14 @@
 
 static enum h1_verdict on_head(void *ctx, const struct h1_head *h)
 {
+	struct cleanup *c = ctx;
+	struct call_response response;
+
+	adapter_read_response(h, &response);
+	/* These calls carry no request id. */
+	if (response.request_id)
+		return H1_DISCARD;
+	notices_record(c->g, c->endpoint, &response, h->status, "-");
 	return H1_ACCEPT;
 }
 
@@ -62,13 +70,15 @@
 	cleanup_free(c);
 }
 
-/* Sends a request and frees its buffer. Sends nothing if memory is exhausted or
- * no socket can be opened. */
+/* Sends a request and frees its buffer. Sends nothing if memory is exhausted, no
+ * socket can be opened or the endpoint wants nothing from this host. */
 static void start(struct gateway *g, struct fleet_endpoint *e,
 		  struct h1_buf *request)
 {
-	struct cleanup *c = calloc(1, sizeof(*c));
+	struct cleanup *c = NULL;
 
+	if (!fleet_is_unwanted(e, gateway_now_us(g)))
+		c = calloc(1, sizeof(*c));
 	if (c) {
 		c->g = g;
 		c->endpoint = fleet_ref(e);
--- a/cmd/figbend/gateway/gateway.c
+++ b/cmd/figbend/gateway/gateway.c
@@ -70,12 +70,30 @@
 	h1_respond(c, gateway_is_ready(g) ? 200 : 503, NULL, NULL, 0);
 }
 
+static void respond_endpoints(struct gateway *g, struct h1_conn *c)
+{
+	struct h1_buf text = {0};
+
+	if (view_write_endpoints(g, &text) < 0)
+		h1_respond(c, 500, NULL, NULL, 0);
+	else
+		h1_respond(c, 200, "Content-Type: text/plain\r\n",
+			   h1_buf_data(&text), h1_buf_len(&text));
+	h1_buf_finish(&text);
+}
+
 static void on_metrics_request(void *ctx, struct h1_conn *c)
 {
 	struct gateway *g = ctx;
-	char *text = malloc(METRICS_MAX_BYTES);
+	char *text;
 	int n;
 
+	if (strcmp(c->request.head.target, "/endpoints") == 0) {
+		respond_endpoints(g, c);
+		return;
+	}
+	text = malloc(METRICS_MAX_BYTES);
+
 	g->stats.counter[STATS_CONNECTS] = g->endpoints.connects;
 	g->stats.counter[STATS_LOG_LINES_DROPPED] = logline_dropped();
 	n = text ? stats_write(&g->stats, text, METRICS_MAX_BYTES) : -ENOMEM;
--- a/cmd/figbend/gateway/gateway.h
+++ b/cmd/figbend/gateway/gateway.h
@@ -122,7 +122,7 @@
 	struct poison poison;
 	int64_t suspects_sent_us; /* last time to a few hosts */
 
-	int64_t limits_sent_us; /* limits.c: last time to a few hosts */
+	int64_t notices_sent_us; /* notices.c: last time to a few hosts */
 };
 
 /*
@@ -256,12 +256,23 @@
 		       const struct directory_account *account,
 		       const struct h1_buf *body);
 
-/* limits.c: sends the limits that endpoints named to a few hosts, if it is time
- * to. */
-void limits_send(struct gateway *g);
-/* Records the limits that another host, source, knows of. */
-void limits_apply(struct gateway *g, const struct fig_limits *l,
-		  const char *source);
+/* notices.c: what endpoints say of themselves. */
+/*
+ * Records what an endpoint says in a response. request is the id of the request,
+ * for the log.
+ */
+void notices_record(struct gateway *g, struct fleet_endpoint *e,
+		    const struct call_response *response, uint16_t status,
+		    const char *request);
+/* Records what another host, source, knows. */
+void notices_apply(struct gateway *g, const struct fig_notices *notices,
+		   const char *source);
+/* Sends what this host knows to a few hosts, if it is time to. */
+void notices_send(struct gateway *g);
+
+/* view.c: writes what this host knows of each endpoint, one a line. Returns 0 or
+ * -ENOMEM. */
+int view_write_endpoints(struct gateway *g, struct h1_buf *out);
 
 /* req.c: requests of callers; the handlers' ctx is the struct gateway. */
 void req_init(struct gateway *g);
--- a/cmd/figbend/gateway/heartbeat.c
+++ b/cmd/figbend/gateway/heartbeat.c
@@ -404,8 +404,8 @@
 	case FIG_SUSPECTS:
 		crash_apply_report(g, &from->call.fig_call_u.suspects);
 		return;
-	case FIG_LIMITS:
-		limits_apply(g, &from->call.fig_call_u.limits, from->sender);
+	case FIG_NOTICES:
+		notices_apply(g, &from->call.fig_call_u.notices, from->sender);
 		return;
 	case FIG_SHARE:
 		h = relay_on_report(&g->relay, from->sender, from->boot,
@@ -550,7 +550,7 @@
 		send_rows(g, send, n);
 	}
 	crash_tick(g);
-	limits_send(g);
+	notices_send(g);
 	age_us = relay_age_us(&g->relay, now_us);
 	if (age_us >= 0)
 		stats_observe(&g->stats, STATS_KNOWLEDGE_AGE_S, age_us);
--- a/cmd/figbend/gateway/plain.c
+++ b/cmd/figbend/gateway/plain.c
@@ -130,7 +130,7 @@
 		.cold_requests_per_s = r->service->cold_requests_per_s,
 		.n_excluded = r->n_excluded,
 	};
-	int64_t now_us = gateway_now_us(g), timeout_us;
+	int64_t now_us = gateway_now_us(g), timeout_us, may_wait_us;
 	enum fleet_result result;
 	struct fleet_endpoint *e;
 
@@ -143,8 +143,12 @@
 		e = fleet_choose(&g->fleet, &query, now_us, &result);
 	}
 	if (!e) {
-		if ((double)(now_us - r->received_us) >
-		    WAIT_MAX_TARGETS * 1000. * r->route->target_latency_ms)
+		may_wait_us = (int64_t)(WAIT_MAX_TARGETS * 1000. *
+					r->route->target_latency_ms) -
+			      (now_us - r->received_us);
+		if (req_refuse_if_unservable(r, &query, may_wait_us))
+			return;
+		if (may_wait_us < 0)
 			req_refuse_no_endpoint(
 				r,
 				result == FLEET_NO_ENDPOINT
--- a/cmd/figbend/gateway/pools.c
+++ b/cmd/figbend/gateway/pools.c
@@ -700,7 +700,7 @@
 		.cold_requests_per_s = r->service->cold_requests_per_s,
 		.n_excluded = r->n_excluded,
 	};
-	int64_t now_us = gateway_now_us(g);
+	int64_t now_us = gateway_now_us(g), may_wait_us;
 	enum fleet_result result;
 	struct fleet_endpoint *e;
 
@@ -711,8 +711,10 @@
 	heartbeat_update_loads(g);
 	e = fleet_choose(&g->fleet, &query, now_us, &result);
 	if (!e) {
-		if (r->response_started ||
-		    now_us - r->received_us <= max_wait_us(r))
+		may_wait_us = max_wait_us(r) - (now_us - r->received_us);
+		if (req_refuse_if_unservable(r, &query, may_wait_us))
+			return;
+		if (r->response_started || may_wait_us >= 0)
 			req_enqueue(r);
 		else if (result == FLEET_ALL_FULL)
 			req_refuse(r, "no endpoint has enough free memory");
--- a/cmd/figbend/gateway/req.c
+++ b/cmd/figbend/gateway/req.c
@@ -214,6 +214,23 @@
 	return true;
 }
 
+bool req_refuse_if_unservable(struct req *r, const struct fleet_query *query,
+			      int64_t may_wait_us)
+{
+	int64_t wait_us =
+		fleet_wait_us(&r->g->fleet, query, gateway_now_us(r->g));
+
+	if (may_wait_us > req_remaining_us(r))
+		may_wait_us = req_remaining_us(r);
+	if (r->response_started || wait_us <= 0 || wait_us <= may_wait_us)
+		return false;
+	/* If all leave, it is not known when others come. */
+	if (wait_us < DEADLINE_MAX_US)
+		r->retry_after_s = (double)wait_us / 1e6;
+	req_refuse(r, "all endpoints leave or want nothing for a time");
+	return true;
+}
+
 void req_refuse_no_endpoint(struct req *r, const char *reason)
 {
 	struct gateway *g = r->g;
@@ -436,24 +453,6 @@
 	return error;
 }
 
-/* Records the load and the limit that an endpoint reports in an answer. */
-static void record_reported(struct req *r, struct fleet_endpoint *e,
-			    const struct call_response *response)
-{
-	int64_t now_us = gateway_now_us(r->g);
-
-	if (response->has_load)
-		fleet_record_load(e, response->running, response->waiting,
-				  now_us);
-	if (fleet_record_limit(&r->g->fleet, e, response->limit_milli_per_s,
-			       now_us))
-		logline(LOG_NOTICE, "endpoint_limit",
-			"request=%s endpoint=%s step=%s milli_per_s=%u "
-			"own=%u others=%u",
-			r->call.id, e->entry.id, step_names[r->step],
-			e->limit.milli_per_s, e->running, e->peer_running);
-}
-
 /* Calls for a reservation carry no request id. */
 static enum req_answer identify(const struct req *r, const char *request_id)
 {
@@ -484,7 +483,7 @@
 			out->request_id ? out->request_id : "-", h->status);
 		return answer;
 	}
-	record_reported(r, e, out);
+	notices_record(r->g, e, out, h->status, r->call.id);
 	r->status = h->status;
 	r->not_executed = out->not_executed;
 	/* A second copy of a refusal cannot be told from one of the next
--- a/cmd/figbend/gateway/req.h
+++ b/cmd/figbend/gateway/req.h
@@ -102,6 +102,12 @@
  * true if the request has ended.
  */
 bool req_refuse_if_blocked(struct req *r);
+/*
+ * Refuses a request if no endpoint can serve it within the time for which it may
+ * wait, by what the endpoints said. Returns true if the request has ended.
+ */
+bool req_refuse_if_unservable(struct req *r, const struct fleet_query *query,
+			      int64_t may_wait_us);
 /*
  * Refuses a request, like req_refuse(), because its service has no endpoint
  * that can be chosen. For a plain service that includes full endpoints; if
--- a/fuzz/adapter.c
+++ b/fuzz/adapter.c
@@ -25,6 +25,7 @@
 	if (!head || h1_parse_request(&h, p, head) < 0)
 		return;
 	adapter_read_call(&h, &call, &why);
+	h.status = 503;
 	adapter_read_response(&h, &answer);
 	h1_head_finish(&h);
 }
--- a/pkg/call/call.h
+++ b/pkg/call/call.h
@@ -86,6 +86,10 @@
 	/* Requests a second that the endpoint takes from all hosts together, in
 	 * thousandths; 0 if it names no limit. */
 	uint32_t limit_milli_per_s;
+	bool leaving; /* the endpoint is about to stop */
+	/* For how long the endpoint wants nothing more from this host; 0 if it
+	 * does not say so. */
+	uint32_t retry_after_ms;
 };
 
 #endif
--- a/pkg/fleet/choose.c
+++ b/pkg/fleet/choose.c
@@ -91,6 +91,8 @@
 {
 	if (now_us < e->ejected_until_us || (e->ejected_until_us && e->probes))
 		return FLEET_ALL_EJECTED;
+	if (fleet_is_unwanted(e, now_us) || (e->unwanted_until_us && e->probes))
+		return FLEET_ALL_FULL;
 	if (now_us < e->full_until_us || fleet_rate_reached(f, q, e, now_us))
 		return FLEET_ALL_FULL;
 	if (q->kv_tokens && fleet_free_tokens(e, q->kv_capacity_tokens) <
@@ -99,6 +101,34 @@
 	return FLEET_FOUND;
 }
 
+static bool matches(const struct fleet_query *q, const struct fleet_endpoint *e)
+{
+	return e->entry.stage == q->stage &&
+	       strcmp(e->entry.service, q->service) == 0;
+}
+
+int64_t fleet_wait_us(const struct fleet *f, const struct fleet_query *query,
+		      int64_t now_us)
+{
+	const struct fleet_endpoint *e;
+	int64_t until_us = INT64_MAX;
+	bool any = false;
+
+	TAILQ_FOREACH(e, &f->list, link)
+	{
+		if (!matches(query, e))
+			continue;
+		any = true;
+		if (e->entry.draining || e->leaving_us)
+			continue;
+		if (!fleet_is_unwanted(e, now_us))
+			return 0;
+		if (e->unwanted_until_us < until_us)
+			until_us = e->unwanted_until_us;
+	}
+	return any ? until_us - now_us : 0;
+}
+
 struct fleet_endpoint *fleet_choose(struct fleet *f,
 				    const struct fleet_query *query,
 				    int64_t now_us, enum fleet_result *result)
@@ -110,9 +140,8 @@
 	*result = FLEET_NO_ENDPOINT;
 	TAILQ_FOREACH(e, &f->list, link)
 	{
-		if (e->entry.stage != query->stage ||
-		    strcmp(e->entry.service, query->service) != 0 ||
-		    !fleet_is_usable(f, e) || is_excluded(query, e))
+		if (!matches(query, e) || !fleet_is_usable(f, e) ||
+		    is_excluded(query, e))
 			continue;
 		availability = check_availability(f, query, e, now_us);
 		if (availability != FLEET_FOUND) {
--- a/pkg/fleet/fleet.c
+++ b/pkg/fleet/fleet.c
@@ -18,6 +18,9 @@
 /* Weights of the newest value in the exponential averages. */
 #define FAILURE_RATE_WEIGHT 0.15
 #define LATENCY_WEIGHT 0.2
+/* An endpoint that says that it leaves, and is still there after this time, may be
+ * chosen again. */
+#define LEAVING_MAX_US 300000000LL
 /* How long a removed endpoint is remembered. */
 #define REMEMBER_US 600000000LL
 
@@ -199,6 +202,8 @@
 
 	for (e = TAILQ_FIRST(&f->list); e; e = next) {
 		next = TAILQ_NEXT(e, link);
+		if (e->leaving_us && now_us - e->leaving_us >= LEAVING_MAX_US)
+			e->leaving_us = 0;
 		if (e->remove_at_us && e->remove_at_us <= now_us)
 			move_to_removed(f, e, now_us);
 	}
@@ -251,7 +256,7 @@
 
 bool fleet_is_usable(const struct fleet *f, const struct fleet_endpoint *e)
 {
-	return e->listed && !e->entry.draining &&
+	return e->listed && !e->entry.draining && !e->leaving_us &&
 	       !domains_contain(&f->withdrawn, e->entry.domain);
 }
 
@@ -262,7 +267,7 @@
 		e->limit.level -= 1;
 		e->limit.used_turn = e->limit.turn;
 	}
-	if (e->ejected_until_us)
+	if (e->ejected_until_us || e->unwanted_until_us)
 		e->probes++;
 }
 
@@ -329,6 +334,7 @@
 void fleet_record_capacity(struct fleet_endpoint *e)
 {
 	e->refusals = 0;
+	e->unwanted_until_us = 0;
 }
 
 void fleet_record_outcome(struct fleet_endpoint *e, enum fleet_outcome outcome,
@@ -336,7 +342,7 @@
 {
 	switch (outcome) {
 	case FLEET_SUCCESS:
-		e->refusals = 0;
+		fleet_record_capacity(e);
 		e->consecutive_failures = 0;
 		e->ejected_until_us = 0;
 		e->failure_rate *= 1 - FAILURE_RATE_WEIGHT;
@@ -374,3 +380,11 @@
 	e->load_waiting = waiting;
 	e->load_us = now_us;
 }
+
+bool fleet_record_leaving(struct fleet_endpoint *e, int64_t at_us)
+{
+	if (e->leaving_us)
+		return false;
+	e->leaving_us = at_us;
+	return true;
+}
--- a/pkg/fleet/fleet.h
+++ b/pkg/fleet/fleet.h
@@ -112,6 +112,10 @@
 	struct fleet_rate cold_rate;
 	uint32_t probes; /* probe requests in flight */
 	struct fleet_limit limit;
+	int64_t leaving_us; /* when it said that it leaves, 0 if it did not */
+	/* It wants nothing from this host until then, and one request after
+	 * that; 0 once it has capacity again. */
+	int64_t unwanted_until_us;
 };
 
 TAILQ_HEAD(fleet_endpoints, fleet_endpoint);
@@ -218,7 +222,7 @@
 /* Returns true if the endpoint's domain is marked as unreachable. */
 bool fleet_is_unreachable(const struct fleet *f,
 			  const struct fleet_endpoint *e);
-/* Returns true if the endpoint is listed, not draining and not withdrawn. */
+/* Returns true if the endpoint is listed, does not leave and is not withdrawn. */
 bool fleet_is_usable(const struct fleet *f, const struct fleet_endpoint *e);
 
 /*
@@ -282,6 +286,25 @@
 bool fleet_record_limit(struct fleet *f, struct fleet_endpoint *e,
 			uint32_t limit_milli_per_s, int64_t at_us);
 
+/*
+ * Records that the endpoint said at the given time that it leaves: it is not
+ * chosen any more while its start lives, or for a few minutes. Returns true if that
+ * is new.
+ */
+bool fleet_record_leaving(struct fleet_endpoint *e, int64_t at_us);
+/* The endpoint wants nothing from this host for that long. */
+void fleet_record_unwanted(struct fleet *f, struct fleet_endpoint *e,
+			   int64_t for_us, int64_t now_us);
+/* Returns true if the endpoint wants nothing from this host now. */
+bool fleet_is_unwanted(const struct fleet_endpoint *e, int64_t now_us);
+/*
+ * Returns how long no endpoint can serve the query, by what they said: all leave,
+ * or want nothing for a time. 0 if one may serve it at any time, or if there is
+ * none.
+ */
+int64_t fleet_wait_us(const struct fleet *f, const struct fleet_query *query,
+		      int64_t now_us);
+
 /* Adds a reference and returns e. */
 struct fleet_endpoint *fleet_ref(struct fleet_endpoint *e);
 /* Drops a reference; the last one frees the endpoint. e may be NULL. */
--- a/pkg/fleet/rate.c
+++ b/pkg/fleet/rate.c
@@ -14,6 +14,10 @@
  * and for how long a larger share accumulates. */
 #define LIMIT_HOLD_S 2.0
 #define LIMIT_BURST_S 0.5
+/* Hosts that an endpoint told at the same time to keep away return at different
+ * times, later by up to this part of the wait and this time. */
+#define RETURN_SPREAD 0.25
+#define RETURN_SPREAD_MAX_US 1000000.
 /* Lowest limit of an endpoint that is kept: its answers tell when it ends. */
 #define LIMIT_MIN_MILLI 100
 
@@ -172,3 +176,20 @@
 {
 	return e->limit.milli_per_s != 0;
 }
+
+void fleet_record_unwanted(struct fleet *f, struct fleet_endpoint *e,
+			   int64_t for_us, int64_t now_us)
+{
+	double spread_us = RETURN_SPREAD * (double)for_us;
+
+	if (spread_us > RETURN_SPREAD_MAX_US)
+		spread_us = RETURN_SPREAD_MAX_US;
+	for_us += (int64_t)(spread_us * fleet_random(f));
+	if (now_us + for_us > e->unwanted_until_us)
+		e->unwanted_until_us = now_us + for_us;
+}
+
+bool fleet_is_unwanted(const struct fleet_endpoint *e, int64_t now_us)
+{
+	return now_us < e->unwanted_until_us;
+}
--- a/pkg/fleet/test/fleet_test.cc
+++ b/pkg/fleet/test/fleet_test.cc
@@ -448,6 +448,99 @@
 	fleet_unref(e);
 }
 
+/* Guards against an endpoint that is used although it said that it leaves: by an
+ * entry that says otherwise, or since its entry lapsed. */
+TEST_F(Fleet, AnEndpointThatLeavesIsNotChosenWhileItsStartLives)
+{
+	struct fleet_endpoint *e = upsert("a", "d1");
+
+	EXPECT_TRUE(fleet_record_leaving(e, now_us));
+	EXPECT_FALSE(fleet_record_leaving(e, now_us + 1));
+	EXPECT_EQ(choose(), nullptr);
+	upsert("a", "d1");
+	EXPECT_EQ(choose(), nullptr) << "its entry changed";
+	fleet_remove(&f, "a", ++offset, now_us, now_us);
+	upsert("a", "d1");
+	EXPECT_EQ(choose(), nullptr) << "its entry returned";
+	e = upsert("a", "d1", FLEET_PLAIN, false, 2);
+	EXPECT_EQ(choose(), e) << "it started again";
+}
+
+TEST_F(Fleet, AnEndpointThatLeavesForTooLongIsChosenAgain)
+{
+	struct fleet_endpoint *e = upsert("a", "d1");
+
+	fleet_record_leaving(e, now_us);
+	now_us += 299000 * MS;
+	fleet_expire(&f, now_us);
+	EXPECT_EQ(choose(), nullptr);
+	now_us += 1000 * MS;
+	fleet_expire(&f, now_us);
+	EXPECT_EQ(choose(), e);
+}
+
+TEST_F(Fleet, KeepsAwayFromAnEndpointAndReturnsWithOneRequest)
+{
+	struct fleet_endpoint *e = upsert("a", "d1");
+	int64_t until_us;
+
+	fleet_record_unwanted(&f, e, 2000 * MS, now_us);
+	until_us = e->unwanted_until_us;
+	EXPECT_GE(until_us, now_us + 2000 * MS);
+	EXPECT_LE(until_us, now_us + 2500 * MS);
+	fleet_record_unwanted(&f, e, 100 * MS, now_us);
+	EXPECT_EQ(e->unwanted_until_us, until_us) << "the longer wait holds";
+	now_us = until_us - 1;
+	EXPECT_EQ(choose(), nullptr);
+	now_us = until_us;
+	ASSERT_EQ(choose(), e);
+	fleet_request_start(e, 0, 0);
+	EXPECT_EQ(choose(), nullptr) << "one request at first";
+	fleet_request_end(e, 0);
+	fleet_record_outcome(e, FLEET_SUCCESS, MS, now_us);
+	fleet_request_start(e, 0, 0);
+	EXPECT_EQ(choose(), e);
+}
+
+/* Guards against hosts that all return at the same moment. */
+TEST_F(Fleet, HostsReturnAtDifferentTimes)
+{
+	std::map<int64_t, int> returns;
+
+	for (uint64_t i = 0; i < 100; i++) {
+		struct fleet host;
+		struct fleet_entry entry = {};
+		struct fleet_endpoint *e;
+
+		fleet_init(&host, "d1", i * 104729);
+		e = fleet_upsert(&host, &entry, 1, now_us);
+		fleet_record_unwanted(&host, e, 2000 * MS, now_us);
+		returns[(e->unwanted_until_us - now_us) / (100 * MS)]++;
+		fleet_finish(&host);
+	}
+	for (auto &[time, hosts] : returns)
+		EXPECT_LE(hosts, 50) << time;
+}
+
+TEST_F(Fleet, TellsHowLongNoEndpointCanServe)
+{
+	struct fleet_endpoint *a = upsert("a", "d1"), *b = upsert("b", "d1");
+	struct fleet_query q = {};
+
+	q.service = "s";
+	q.stage = FLEET_PLAIN;
+	EXPECT_EQ(fleet_wait_us(&f, &q, now_us), 0);
+	fleet_record_leaving(a, now_us);
+	EXPECT_EQ(fleet_wait_us(&f, &q, now_us), 0);
+	fleet_record_unwanted(&f, b, 1000 * MS, now_us);
+	EXPECT_EQ(fleet_wait_us(&f, &q, now_us), b->unwanted_until_us - now_us);
+	fleet_record_leaving(b, now_us);
+	EXPECT_GT(fleet_wait_us(&f, &q, now_us), 1000000000 * MS)
+		<< "all leave";
+	q.stage = FLEET_DECODE;
+	EXPECT_EQ(fleet_wait_us(&f, &q, now_us), 0) << "not known";
+}
+
 TEST_F(Fleet, HundredsOfHostsShareTheRateOfAColdEndpoint)
 {
 	simulate_cold_endpoint(FLEET_PLAIN);
--- a/pkg/stats/stats.h
+++ b/pkg/stats/stats.h
@@ -55,6 +55,10 @@
 	X(RESUMED, "resumed", "streams that went on at another endpoint")      \
 	X(RESPONSES_MISMATCHED, "answers_foreign",                             \
 	  "answers of another request, skipped")                               \
+	X(ENDPOINTS_LEAVING, "endpoints_leaving",                              \
+	  "endpoints that said in an answer that they leave")                  \
+	X(ENDPOINTS_UNWANTED, "endpoints_unwanted",                            \
+	  "answers 503 that asked this host to keep away for a time")          \
 	X(CRASH_SUSPECTS, "crash_suspects",                                    \
 	  "connections that broke before the answer had begun")                \
 	X(STORE_CALLS, "store_calls", "calls to the store")                    \
--- a/pkg/wire/fig_msg.x
+++ b/pkg/wire/fig_msg.x
@@ -27,7 +27,7 @@
 	FIG_ROWS = 19,
 	FIG_DIGEST = 20,
 	FIG_SUSPECTS = 21,
-	FIG_LIMITS = 22
+	FIG_NOTICES = 22
 };
 
 /* Once an interval to hosts of the domain, over UDP; no reply. */
@@ -114,18 +114,20 @@
 	fig_suspect suspect<FIG_SUSPECTS_MAX>;
 };
 
-const FIG_LIMITS_MAX = 64;
+const FIG_NOTICES_MAX = 64;
 
-/* The limit that an endpoint named in its newest answer known to the sender. */
-struct fig_limit {
+/* What an endpoint said of itself in its answers. Ages are all ones if it said
+ * nothing of the kind. */
+struct fig_notice {
 	unsigned hyper endpoint; /* hash of its id and start */
-	unsigned int milli_per_s; /* 0: no limit any more */
-	unsigned int age_ms;
+	unsigned int milli_per_s; /* limit; 0: none any more */
+	unsigned int limit_age_ms;
+	unsigned int leaving_age_ms;
 };
 
-/* Now and then to a few hosts, over UDP; no reply. */
-struct fig_limits {
-	fig_limit limit<FIG_LIMITS_MAX>;
+/* Over UDP, now and then to a few hosts, and to all when one leaves; no reply. */
+struct fig_notices {
+	fig_notice notice<FIG_NOTICES_MAX>;
 };
 
 const FIG_ROOMS_MAX = 64;
@@ -372,8 +374,8 @@
 	fig_digest digest;
 case FIG_SUSPECTS:
 	fig_suspects suspects;
-case FIG_LIMITS:
-	fig_limits limits;
+case FIG_NOTICES:
+	fig_notices notices;
 };
 
 union fig_reply switch (fig_kind kind) {
@@ -407,7 +409,7 @@
 	void;
 case FIG_SUSPECTS:
 	void;
-case FIG_LIMITS:
+case FIG_NOTICES:
 	void;
 };
 
--- a/pkg/wire/gen/fig_msg.h
+++ b/pkg/wire/gen/fig_msg.h
@@ -35,7 +35,7 @@
 	FIG_ROWS = 19,
 	FIG_DIGEST = 20,
 	FIG_SUSPECTS = 21,
-	FIG_LIMITS = 22,
+	FIG_NOTICES = 22,
 };
 typedef enum fig_kind fig_kind;
 
@@ -130,22 +130,23 @@
 	} suspect;
 };
 typedef struct fig_suspects fig_suspects;
-#define FIG_LIMITS_MAX 64
+#define FIG_NOTICES_MAX 64
 
-struct fig_limit {
+struct fig_notice {
 	u_quad_t endpoint;
 	u_int milli_per_s;
-	u_int age_ms;
+	u_int limit_age_ms;
+	u_int leaving_age_ms;
 };
-typedef struct fig_limit fig_limit;
+typedef struct fig_notice fig_notice;
 
-struct fig_limits {
+struct fig_notices {
 	struct {
-		u_int limit_len;
-		fig_limit *limit_val;
-	} limit;
+		u_int notice_len;
+		fig_notice *notice_val;
+	} notice;
 };
-typedef struct fig_limits fig_limits;
+typedef struct fig_notices fig_notices;
 #define FIG_ROOMS_MAX 64
 #define FIG_GRANTS_MAX 4096
 
@@ -423,7 +424,7 @@
 		fig_rows rows;
 		fig_digest digest;
 		fig_suspects suspects;
-		fig_limits limits;
+		fig_notices notices;
 	} fig_call_u;
 };
 typedef struct fig_call fig_call;
@@ -490,8 +491,8 @@
 extern  bool_t xdr_fig_break (XDR *, fig_break*);
 extern  bool_t xdr_fig_suspect (XDR *, fig_suspect*);
 extern  bool_t xdr_fig_suspects (XDR *, fig_suspects*);
-extern  bool_t xdr_fig_limit (XDR *, fig_limit*);
-extern  bool_t xdr_fig_limits (XDR *, fig_limits*);
+extern  bool_t xdr_fig_notice (XDR *, fig_notice*);
+extern  bool_t xdr_fig_notices (XDR *, fig_notices*);
 extern  bool_t xdr_fig_need (XDR *, fig_need*);
 extern  bool_t xdr_fig_grant (XDR *, fig_grant*);
 extern  bool_t xdr_fig_room (XDR *, fig_room*);
@@ -535,8 +536,8 @@
 extern bool_t xdr_fig_break ();
 extern bool_t xdr_fig_suspect ();
 extern bool_t xdr_fig_suspects ();
-extern bool_t xdr_fig_limit ();
-extern bool_t xdr_fig_limits ();
+extern bool_t xdr_fig_notice ();
+extern bool_t xdr_fig_notices ();
 extern bool_t xdr_fig_need ();
 extern bool_t xdr_fig_grant ();
 extern bool_t xdr_fig_room ();
--- a/pkg/wire/gen/fig_msg_xdr.c
+++ b/pkg/wire/gen/fig_msg_xdr.c
@@ -266,7 +266,7 @@
 }
 
 bool_t
-xdr_fig_limit (XDR *xdrs, fig_limit *objp)
+xdr_fig_notice (XDR *xdrs, fig_notice *objp)
 {
 	register int32_t *buf;
 
@@ -274,18 +274,20 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->milli_per_s))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->age_ms))
+	 if (!xdr_u_int (xdrs, &objp->limit_age_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->leaving_age_ms))
 		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_fig_limits (XDR *xdrs, fig_limits *objp)
+xdr_fig_notices (XDR *xdrs, fig_notices *objp)
 {
 	register int32_t *buf;
 
-	 if (!xdr_array (xdrs, (char **)&objp->limit.limit_val, (u_int *) &objp->limit.limit_len, FIG_LIMITS_MAX,
-		sizeof (fig_limit), (xdrproc_t) xdr_fig_limit))
+	 if (!xdr_array (xdrs, (char **)&objp->notice.notice_val, (u_int *) &objp->notice.notice_len, FIG_NOTICES_MAX,
+		sizeof (fig_notice), (xdrproc_t) xdr_fig_notice))
 		 return FALSE;
 	return TRUE;
 }
@@ -951,8 +953,8 @@
 		 if (!xdr_fig_suspects (xdrs, &objp->fig_call_u.suspects))
 			 return FALSE;
 		break;
-	case FIG_LIMITS:
-		 if (!xdr_fig_limits (xdrs, &objp->fig_call_u.limits))
+	case FIG_NOTICES:
+		 if (!xdr_fig_notices (xdrs, &objp->fig_call_u.notices))
 			 return FALSE;
 		break;
 	default:
@@ -1015,7 +1017,7 @@
 		break;
 	case FIG_SUSPECTS:
 		break;
-	case FIG_LIMITS:
+	case FIG_NOTICES:
 		break;
 	default:
 		return FALSE;
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -791,6 +791,156 @@
 test_keeps_to_the_limit_of_an_endpoint_whose_entry_lapses.hosts = 6
 
 
+async def check_leaving(d, e, route, tokens=None):
+    """An endpoint that says that it leaves gets nothing more, whatever its
+    entry says, until it has started again."""
+    await send_for(d, 1, route, tokens)
+    assert e.call_times
+    e.leaving = True
+    await send_for(d, 2, route, tokens)
+    told = time.monotonic()
+    d.store.put_json("keyed.servers", e.name, e.entry())
+    await send_for(d, 2, route, tokens)
+    d.store.put("keyed.servers", e.name, None)
+    await send_for(d, 1, route, tokens)
+    d.store.put_json("keyed.servers", e.name, e.entry())
+    await send_for(d, 2, route, tokens)
+    assert not [t for t in e.call_times if t > told]
+    e.leaving = False
+    e.started_ms += 1
+    d.store.put_json("keyed.servers", e.name, e.entry())
+    await send_for(d, 3, route, tokens)
+    assert [t for t in e.call_times if t > told]
+
+
+async def test_sends_nothing_to_a_plain_endpoint_that_says_it_leaves(d):
+    """Guards against requests to an endpoint that has said so, before its entry
+    does."""
+    await start_small(d)
+    await check_leaving(d, plain_endpoints(d)[0], "idempotent")
+
+
+async def test_sends_nothing_to_a_decode_endpoint_that_says_it_leaves(d):
+    await start_small(d)
+    await check_leaving(d, decode_endpoints(d)[0], "stream", (300, 16))
+
+
+async def test_sends_nothing_to_a_prefill_endpoint_that_says_it_leaves(d):
+    await start_small(d)
+    await d.add_endpoint("model", "b", "prefill")
+    await check_leaving(d, d.endpoints[2], "stream", (300, 16))
+
+
+async def test_streams_end_whole_at_an_endpoint_that_leaves(d):
+    await start_small(d)
+    streams = [asyncio.ensure_future(d.request("stream", tokens=(300, 800)))
+               for _ in range(4)]
+    await asyncio.sleep(0.5)
+    for e in decode_endpoints(d):
+        e.leaving = True
+    await send_for(d, 0.5, "idempotent")
+    for s in streams:
+        rid, r = await s
+        assert r.complete and r.body == expected_events(rid, 100)
+
+
+async def test_hosts_tell_each_other_that_an_endpoint_leaves(d):
+    await start_small(d)
+    e = plain_endpoints(d)[0]
+    await send_for(d, 1, "idempotent")
+    e.leaving = True
+    before = len(e.call_times)
+    for _ in range(20):
+        assert (await d.request("idempotent"))[1].status == 200
+    assert len(e.call_times) - before == 1
+    for n in range(20):
+        assert (await d.request("idempotent", host=n % 6))[1].status == 200
+    assert len(e.call_times) - before == 1
+
+
+test_hosts_tell_each_other_that_an_endpoint_leaves.hosts = 6
+
+
+async def refused_at_once(d, route, tokens=None, at_least_s=0., at_most_s=4.):
+    """Checks that a request is refused at once, and when it may return."""
+    start = time.monotonic()
+    rid, r = await d.request(route, tokens=tokens)
+    assert r.status == 503 and not executions(d, rid), r.status
+    assert time.monotonic() - start < 0.1, time.monotonic() - start
+    assert at_least_s < float(r.headers["retry-after"]) <= at_most_s, r.headers
+
+
+async def test_refuses_at_once_if_all_endpoints_leave(d):
+    """Guards against requests that wait although nothing will serve them."""
+    await start_small(d)
+    for e in d.endpoints:
+        e.leaving = True
+    for route, tokens in (("idempotent", None), ("stream", (300, 16))):
+        for _ in range(6):
+            await d.request(route, tokens=tokens)
+        await refused_at_once(d, route, tokens)
+
+
+RETRY_AFTER_S = 3
+
+
+async def check_retry_after(d, e, route, tokens=None):
+    """An endpoint that answers 503 with Retry-After gets nothing for so long
+    from a host that it has told; two requests are tolerated."""
+    await send_for(d, 1, route, tokens)
+    e.retry_after = str(RETRY_AFTER_S)
+    start, n = time.monotonic(), len(e.call_times)
+    await send_for(d, RETRY_AFTER_S - 0.2, route, tokens)
+    calls = [t for t in e.call_times[n:]]
+    late = [t - start for t in calls if t > calls[0] + 1]
+    assert len(late) <= 2 * len(d.hosts), late
+    e.retry_after = None
+    await send_for(d, 4, route, tokens)
+    assert [t for t in e.call_times if t > start + RETRY_AFTER_S], "not used"
+
+
+async def test_keeps_away_from_a_plain_endpoint_as_long_as_it_says(d):
+    """Guards against requests to an endpoint that wants none for a time."""
+    await start_small(d)
+    await check_retry_after(d, plain_endpoints(d)[0], "idempotent")
+
+
+async def test_keeps_away_from_a_decode_endpoint_as_long_as_it_says(d):
+    await start_small(d)
+    await check_retry_after(d, decode_endpoints(d)[0], "stream", (300, 16))
+
+
+async def test_keeps_away_from_a_prefill_endpoint_as_long_as_it_says(d):
+    await start_small(d)
+    await check_retry_after(d, d.endpoints[2], "stream", (300, 16))
+
+
+async def test_refuses_at_once_if_all_endpoints_want_nothing(d):
+    await start_small(d)
+    for e in d.endpoints:
+        e.retry_after = "3.5"
+    for route, tokens in (("idempotent", None), ("stream", (300, 16))):
+        await asyncio.gather(*(d.request(route, tokens=tokens)
+                               for _ in range(6)))
+        # A host returns later by up to a quarter of the time.
+        await refused_at_once(d, route, tokens, at_least_s=0.5,
+                              at_most_s=3.5 * 1.25)
+
+
+async def test_takes_any_notice_of_an_endpoint(d):
+    """No value of these headers stops a host, or blocks an endpoint for long."""
+    await start_small(d)
+    e = plain_endpoints(d)[0]
+    for value in ("-1", "", "x", "1e9", "0x10", "nan", "9" * 400, "0.0",
+                  "Sat, 05 Dec 2026 01:00:00 GMT", "1, 2"):
+        e.limit, e.retry_after = value, value
+        await d.request("idempotent")
+        await d.request("idempotent", host=1)
+    e.limit = e.retry_after = None
+    assert all([await d.readiness(h) == 200 for h in d.hosts])
+    await send_for(d, 1, "idempotent")
+
+
 def hosts_without_limit(d):
     """Counts the hosts that logged the end of a limit."""
     n = 0
@@ -892,15 +1042,38 @@
         "did not wait for free memory"
 
 
-async def test_serves_metrics(d):
-    await start_small(d)
-    await d.request("idempotent")
+async def metrics_page(d, path):
     reader, writer = await asyncio.open_connection(d.hosts[0].ip, METRICS_PORT)
-    writer.write(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n")
+    writer.write(b"GET %s HTTP/1.1\r\nHost: x\r\n\r\n" % path)
     r = await asyncio.wait_for(read_response(reader), 2)
     writer.close()
-    assert b"figbend_answered_total 1\n" in r.body
-    assert b'figbend_answer_seconds_bucket{le="+Inf"} 1\n' in r.body
+    return r.body.decode()
+
+
+async def test_serves_metrics(d):
+    await start_small(d)
+    await d.request("idempotent")
+    body = await metrics_page(d, b"/metrics")
+    assert "figbend_answered_total 1\n" in body
+    assert 'figbend_answer_seconds_bucket{le="+Inf"} 1\n' in body
+
+
+async def test_shows_why_an_endpoint_gets_nothing(d):
+    await start_small(d)
+    first, second = plain_endpoints(d)
+    first.leaving = True
+    second.limit = 5
+    for _ in range(6):
+        await d.request("idempotent")
+    lines = {line.split()[0]: line for line in
+             (await metrics_page(d, b"/endpoints")).splitlines()}
+    assert len(lines) == len(d.endpoints)
+    line = lines[f"endpoint={first.name}"]
+    assert "usable=0" in line and "leaving_age_ms=-1" not in line, line
+    line = lines[f"endpoint={second.name}"]
+    assert "usable=1" in line and "limit_milli_per_s=5000" in line, line
+    assert "figbend_endpoints_leaving_total 1\n" in await metrics_page(
+        d, b"/metrics")
 
 
 async def test_does_not_block_on_its_log(d):
--- a/test/pools/standins.py
+++ b/test/pools/standins.py
@@ -229,6 +229,9 @@
         self.holds_to_refuse = 0
         self.refusals = {}  # connection: its last refusal
         self.limit = None  # named in all responses, in requests a second
+        self.leaving = False  # said in all responses
+        # While set, all requests get 503 with this Retry-After, as text.
+        self.retry_after = None
         self.call_times = []  # of all requests, control calls included
         self.received = []  # (request id, headers, target, body, fault)
         self.executed = []  # ids of requests whose execution started
@@ -239,7 +242,7 @@
 
     def http_response(self, status, body=b"", fields=None):
         return http_response(status, body,
-                             {**(fields or {}), **self.limit_fields()})
+                             {**(fields or {}), **self.notices()})
 
     def refuse(self, writer, rid=None):
         fields = {"Not-Executed": "1"}
@@ -249,8 +252,14 @@
         writer.write(self.refusals[writer])
         return True
 
-    def limit_fields(self):
-        return {} if self.limit is None else {"Server-Limit": str(self.limit)}
+    def notices(self):
+        """Headers in which the endpoint speaks of itself."""
+        fields = {}
+        if self.limit is not None:
+            fields["Server-Limit"] = str(self.limit)
+        if self.leaving:
+            fields["Server-Leaving"] = "1"
+        return fields
 
     def entry(self, state="ready", **more):
         e = {"Service": self.service, "Address": self.addr,
@@ -279,6 +288,12 @@
         if expected and expected != self.name:
             writer.write(self.http_response(421, b"", {"Instance-Id": self.name}))
             return True
+        if self.retry_after is not None:
+            rid = headers.get("attempt-id")
+            writer.write(self.http_response(503, b"", {
+                "Not-Executed": "1", "Retry-After": self.retry_after,
+                **({"Attempt-Id": rid} if rid else {})}))
+            return True
         if target == "/figbend/hold-take":
             return self.reserve(writer, json.loads(body))
         if target.startswith("/figbend/hold-drop/"):
@@ -448,7 +463,7 @@
                            else "") +
                           "Connection: close\r\n" +
                           "".join(f"{k}: {v}\r\n" for k, v in
-                                  {**identity, **self.limit_fields()}.items()) +
+                                  {**identity, **self.notices()}.items()) +
                           "\r\n").encode())
             if fault == "only_comment":
                 writer.write(b"5\r\n: k\n\n\r\n0\r\n\r\n")
