soak: endpoints that leave, want nothing, name limits or crash by a part of prompts

Two kinds of faults with checks of their own, and six more faults of endpoints (an old refusal once more, a head cut off, 504, 500, streams without a frame). The checks hold only while no host or connection is disturbed.

--- a/test/pools/standins.py
+++ b/test/pools/standins.py
@@ -340,7 +340,8 @@
             if self.entry_removed_first:
                 self.store.put("keyed.servers", self.name, None)
                 await asyncio.sleep(0.1)
-            self.restart = asyncio.ensure_future(self.crash())
+            if not self.restart or self.restart.done():
+                self.restart = asyncio.ensure_future(self.crash())
             return False
         if fault in ("reset", "half_head", "error"):
             if headers.get("serving-stage") != "prefill":
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -15,6 +15,9 @@
 denied   a valid request gets no 400, 401 or 404
 key      endpoints receive the account's name and never an API key
 leaving  a draining endpoint receives no requests
+notice   an endpoint that says that it leaves, names a limit or wants nothing for
+         a time gets no more than that
+poison   a part of prompts that crashes endpoints is blocked
 held     after the last caller, endpoints hold no reservations or requests
 exit     a host exits within 9 s of SIGTERM, with status 0
 recover  each host serves requests after the faults
@@ -41,6 +44,8 @@
           "resumable")
 # 2 s to stop sending, a heartbeat interval, and a margin for a slow machine.
 DRAIN_GRACE_S = 2.6
+# Crashes until a part of prompts is blocked, and requests on their way then.
+CRASHES_MAX = 5 + 3
 CONCURRENT_CALLERS = 8
 
 
@@ -53,6 +58,8 @@
         self.violations, self.sent, self.completed = [], 0, 0
         self.draining, self.calm_since = {}, time.monotonic()
         self.paused, self.restarting = set(), set()
+        # The last time a host or a connection was disturbed.
+        self.disturbed = 0.
 
     def violation(self, check, text):
         self.violations.append(f"{check}: {text}")
@@ -133,7 +140,8 @@
     async def inject_faults(self, end):
         kinds = [self.kill_host, self.pause_host, self.stop_host,
                  self.degrade_connections, self.fail_endpoint, self.fail_store,
-                 self.change_config, self.drain_endpoint]
+                 self.change_config, self.drain_endpoint, self.give_notice,
+                 self.send_poison]
         tasks = []
         while time.monotonic() < end:
             await asyncio.sleep(self.random.uniform(0.1, 1.0))
@@ -151,6 +159,7 @@
         await asyncio.sleep(self.random.uniform(0, 1))
         await host.start()
         self.restarting.discard(host)
+        self.disturbed = time.monotonic()
 
     async def stop_host(self):
         host = self.random.choice(self.d.hosts)
@@ -171,6 +180,7 @@
             await host.kill()
         await host.start()
         self.restarting.discard(host)
+        self.disturbed = time.monotonic()
 
     async def pause_host(self):
         host = self.random.choice(self.d.hosts)
@@ -181,6 +191,7 @@
         await asyncio.sleep(self.random.uniform(0.2, 3))
         host.signal(signal.SIGCONT)
         self.paused.discard(host)
+        self.disturbed = time.monotonic()
 
     async def degrade_connections(self):
         p = self.random.choice(self.proxies)
@@ -190,13 +201,17 @@
             p.reset_all()
         await asyncio.sleep(self.random.uniform(0.2, 3))
         p.mode = "ok"
+        self.disturbed = time.monotonic()
 
     async def fail_endpoint(self):
         e = self.random.choice(self.d.endpoints)
         e.faults += self.random.choices(
             ["overloaded", "reset", "truncate", "extra_response", "wrong_id",
-             "unsigned", "hang", "truncate_event", "handle_missing", None],
+             "unsigned", "hang", "truncate_event", "handle_missing", "late",
+             "half_head", "error", "old_refusal", "until_close",
+             "until_close_truncate_event", None],
             k=self.random.randint(1, 8))
+        e.anonymous_refusals = self.random.random() < 0.5
 
     async def fail_store(self):
         store = self.random.choice(self.d.host_stores)
@@ -232,6 +247,59 @@
         self.d.store.put_json("keyed.servers", e.name, e.entry())
         del self.draining[e.name]
 
+    def is_calm(self, since):
+        """Returns true if nothing disturbed hosts and connections since then:
+        otherwise they may not know of what an endpoint says."""
+        return (self.disturbed < since and not self.paused and
+                not self.restarting and
+                all(p.mode == "ok" for p in self.proxies))
+
+    async def give_notice(self):
+        e = self.random.choice(self.d.endpoints)
+        kind = self.random.choice(["leaving", "limit", "retry_after"])
+        if e.leaving or e.limit or e.retry_after or e.name in self.draining:
+            return
+        start, n = time.monotonic(), len(e.call_times)
+        setattr(e, kind, {"leaving": True, "retry_after": "3",
+                          "limit": self.random.uniform(0.5, 3)}[kind])
+        await asyncio.sleep(DRAIN_GRACE_S)
+        calls, calm = e.call_times[n:], self.is_calm(start)
+        told = calls[0] + 1 if calls else 0
+        late = [t for t in calls if t > told]
+        if kind == "limit":
+            most = 6 * e.limit + 5
+        elif kind == "retry_after":
+            most = 2 * len(self.d.hosts)
+        else:
+            n = len(e.call_times)
+            await asyncio.sleep(1)
+            late, most = e.call_times[n:], 0
+            calm = self.is_calm(start)
+        if self.plant == "notice":
+            late, calm = late + [0.] * 100, True
+        if calls and calm and len(late) > most:
+            self.violation("notice", f"{e.name} got {len(late)} calls after "
+                                     f"{kind}, {most:.0f} allowed")
+        e.leaving, e.limit, e.retry_after = False, None, None
+        e.started_ms += 1
+        self.d.store.put_json("keyed.servers", e.name, e.entry())
+
+    async def send_poison(self):
+        """Requests with a part of their prompts that crashes endpoints."""
+        start = time.monotonic()
+        before = sum(e.crashes for e in self.d.endpoints)
+        for i in range(16):
+            try:
+                await self.d.request("stream", host=i % len(self.d.hosts),
+                                     tokens=(300, 16), parts=("a", "dead"),
+                                     body=b"%d" % i, timeout_s=6)
+            except (OSError, asyncio.TimeoutError):
+                pass
+        crashes = sum(e.crashes for e in self.d.endpoints) - before
+        crashes += CRASHES_MAX * (self.plant == "poison")
+        if (self.is_calm(start) or self.plant) and crashes > CRASHES_MAX:
+            self.violation("poison", f"{crashes} crashes by one part")
+
     # After the faults.
 
     def check_endpoints(self):
@@ -266,7 +334,7 @@
             for p in self.proxies:
                 p.mode = "ok"
             for e in self.d.endpoints:
-                e.faults = []
+                e.faults, e.limit, e.retry_after = [], None, None
             await self.check_recovery()
             self.check_endpoints()
         finally:
@@ -285,7 +353,8 @@
     parser.add_argument("--keep",
                         help="directory for the hosts' logs of failed seeds")
     parser.add_argument("--plant", choices=["own", "once", "refused", "key",
-                                            "leaving", "held"])
+                                            "leaving", "held", "notice",
+                                            "poison"])
     options = parser.parse_args()
     failed = 0
     for seed in range(options.seed, options.seed + options.seeds):
