soak: an endpoint that drains says so in each of its entries

What was seen: an endpoint got requests 2.6 s after its entry said that it drains. Cause: the soak itself. drain_endpoint published the draining entry, and give_notice or a crash by a deadly part, at the same endpoint, then published "ready" again; the hosts took it at its word. Ruled out: the hosts, which use the endpoint after the second entry only. Change: the endpoint keeps that it drains, and all its entries say so. The check is as strict, and now also holds for an endpoint that starts anew while it drains.

--- a/test/pools/standins.py
+++ b/test/pools/standins.py
@@ -230,6 +230,7 @@
         self.refusals = {}  # connection: its last refusal
         self.limit = None  # named in all responses, in requests a second
         self.leaving = False  # said in all responses
+        self.draining = False  # said in all entries
         # While set, all requests get 503 with this Retry-After, as text.
         self.retry_after = None
         self.call_times = []  # of all requests, control calls included
@@ -261,7 +262,8 @@
             fields["Server-Leaving"] = "1"
         return fields
 
-    def entry(self, state="ready", **more):
+    def entry(self, state=None, **more):
+        state = state or ("draining" if self.draining else "ready")
         e = {"Service": self.service, "Address": self.addr,
              "Zone": self.domain, "Version": "v1", "Slots": self.slots,
              "State": state, "ColdRemainingMs": 0, "Sequence": 1,
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -56,7 +56,6 @@
         self.seconds, self.plant = seconds, plant
         self.proxies, self.faults = [], []
         self.violations, self.sent, self.completed = [], 0, 0
-        self.draining, self.calm_since = {}, time.monotonic()
         self.paused, self.restarting = set(), set()
         # The last time a host or a connection was disturbed.
         self.disturbed = 0.
@@ -230,10 +229,11 @@
 
     async def drain_endpoint(self):
         e = self.random.choice(self.d.endpoints)
-        if e.name in self.draining:
+        if e.draining:
             return
-        self.draining[e.name] = time.monotonic()
-        self.d.store.put_json("keyed.servers", e.name, e.entry("draining"))
+        # Other faults publish the entry too, while the endpoint drains.
+        e.draining = True
+        self.d.store.put_json("keyed.servers", e.name, e.entry())
         await asyncio.sleep(DRAIN_GRACE_S)
         before = len(e.received)
         hosts_up_to_date = not self.paused and not self.restarting and \
@@ -244,8 +244,8 @@
         if hosts_up_to_date and len(e.received) > before:
             self.violation("leaving", f"{e.name} received "
                                       f"{len(e.received) - before} requests")
+        e.draining = False
         self.d.store.put_json("keyed.servers", e.name, e.entry())
-        del self.draining[e.name]
 
     def is_calm(self, since):
         """Returns true if nothing disturbed hosts and connections since then:
@@ -257,7 +257,7 @@
     async def give_notice(self):
         e = self.random.choice(self.d.endpoints)
         kind = self.random.choice(["leaving", "limit", "retry_after"])
-        if e.leaving or e.limit or e.retry_after or e.name in self.draining:
+        if e.leaving or e.limit or e.retry_after or e.draining:
             return
         start, n = time.monotonic(), len(e.call_times)
         setattr(e, kind, {"leaving": True, "retry_after": "3",
