fleet: an answer to an earlier request does not end the time to keep away

What callers saw: nothing yet; found in a read of the code. An endpoint that answered 503 with Retry-After, while it went on with what it had accepted, got a further request each time one of those ended: 8 to 12 of two hosts between 1 and 3 s after the first 503, where four are allowed. Cause: a success of any request counted as capacity, and ended the time. Change: only a request that was sent after the time ends it, and shows that the endpoint has capacity again. Before: Fleet.AnAnswerToAnEarlierRequestDoesNotEndTheTimeToKeepAway and pools streams_that_end_do_not_bring_requests_back failed (10, 12 and 8 late requests in three runs). After: both pass (three runs of the latter). KeepsAwayFromAnEndpointAndReturnsWithOneRequest let an answer end at the time at which its request was sent although it took 1 ms; it now lets the 1 ms pass, its checks are as they were.

--- a/cmd/figbend/gateway/pools.c
+++ b/cmd/figbend/gateway/pools.c
@@ -243,7 +243,7 @@
 				     h1_buf_len(&r->body),
 				     r->reservation) == 0) {
 		stats_add(&r->g->stats, STATS_RESERVATIONS, 1);
-		fleet_record_capacity(r->endpoint);
+		fleet_record_capacity(r->endpoint, r->sent_us);
 		start_prefill(r);
 	} else if (outcome != H1_COMPLETE) {
 		reservation_denied(r,
@@ -585,6 +585,7 @@
 			  const char *reason)
 {
 	struct req *r = ctx;
+	int64_t now_us = gateway_now_us(r->g);
 
 	req_set_step_timer(r, 0);
 	r->reservation[0] = '\0';
@@ -608,8 +609,8 @@
 		decode_failed(r, FLEET_FAILED, true,
 			      "endpoint did not resume the stream");
 	} else {
-		fleet_record_outcome(r->endpoint, FLEET_SUCCESS, 0,
-				     gateway_now_us(r->g));
+		fleet_record_outcome(r->endpoint, FLEET_SUCCESS,
+				     now_us - r->sent_us, now_us);
 		crash_acquit(r);
 		req_complete(r);
 	}
--- a/pkg/fleet/fleet.c
+++ b/pkg/fleet/fleet.c
@@ -331,10 +331,11 @@
 	return us;
 }
 
-void fleet_record_capacity(struct fleet_endpoint *e)
+void fleet_record_capacity(struct fleet_endpoint *e, int64_t sent_us)
 {
 	e->refusals = 0;
-	e->unwanted_until_us = 0;
+	if (sent_us >= e->unwanted_until_us)
+		e->unwanted_until_us = 0;
 }
 
 void fleet_record_outcome(struct fleet_endpoint *e, enum fleet_outcome outcome,
@@ -342,7 +343,7 @@
 {
 	switch (outcome) {
 	case FLEET_SUCCESS:
-		fleet_record_capacity(e);
+		fleet_record_capacity(e, now_us - took_us);
 		e->consecutive_failures = 0;
 		e->ejected_until_us = 0;
 		e->failure_rate *= 1 - FAILURE_RATE_WEIGHT;
--- a/pkg/fleet/fleet.h
+++ b/pkg/fleet/fleet.h
@@ -273,8 +273,12 @@
 		    int64_t wall_offset_us);
 /* Returns true if the endpoint named a limit in its last answer. */
 bool fleet_is_limited(const struct fleet_endpoint *e);
-/* The endpoint had capacity for a request: refusals before do not count. */
-void fleet_record_capacity(struct fleet_endpoint *e);
+/*
+ * The endpoint had capacity for a request that was sent at the given time: refusals
+ * before do not count. What it had accepted earlier does not end a time for which
+ * it wants nothing.
+ */
+void fleet_record_capacity(struct fleet_endpoint *e, int64_t sent_us);
 /* Records the load that the endpoint reported in a response. */
 void fleet_record_load(struct fleet_endpoint *e, uint32_t running,
 		       uint32_t waiting, int64_t now_us);
--- a/pkg/fleet/test/fleet_test.cc
+++ b/pkg/fleet/test/fleet_test.cc
@@ -496,12 +496,39 @@
 	ASSERT_EQ(choose(), e);
 	fleet_request_start(e, 0, 0);
 	EXPECT_EQ(choose(), nullptr) << "one request at first";
+	now_us += MS;
 	fleet_request_end(e, 0);
 	fleet_record_outcome(e, FLEET_SUCCESS, MS, now_us);
 	fleet_request_start(e, 0, 0);
 	EXPECT_EQ(choose(), e);
 }
 
+/* Guards against requests to an endpoint that wants none, since one that it had
+ * accepted before ends well. */
+TEST_F(Fleet, AnAnswerToAnEarlierRequestDoesNotEndTheTimeToKeepAway)
+{
+	struct fleet_endpoint *e = upsert("a", "d1");
+
+	fleet_request_start(e, 0, 0);
+	fleet_request_start(e, 0, 0);
+	now_us += 1000 * MS;
+	fleet_record_unwanted(&f, e, 2000 * MS, now_us);
+	now_us += 500 * MS;
+	fleet_record_outcome(e, FLEET_SUCCESS, 1500 * MS, now_us);
+	fleet_request_end(e, 0);
+	EXPECT_EQ(choose(), nullptr);
+	now_us = e->unwanted_until_us;
+	fleet_record_outcome(e, FLEET_SUCCESS, 3500 * MS, now_us);
+	fleet_request_end(e, 0);
+	ASSERT_EQ(choose(), e);
+	fleet_request_start(e, 0, 0);
+	EXPECT_EQ(choose(), nullptr) << "one request at first";
+	fleet_record_outcome(e, FLEET_SUCCESS, 0, now_us);
+	fleet_request_end(e, 0);
+	fleet_request_start(e, 0, 0);
+	EXPECT_EQ(choose(), e);
+}
+
 /* Guards against hosts that all return at the same moment. */
 TEST_F(Fleet, HostsReturnAtDifferentTimes)
 {
@@ -579,7 +606,7 @@
 		}
 	EXPECT_LE(asked, 8) << "in a second";
 	now_us += 300 * MS;
-	fleet_record_capacity(e);
+	fleet_record_capacity(e, now_us);
 	fleet_record_outcome(e, FLEET_OVERLOADED, 0, now_us);
 	EXPECT_EQ(choose(FLEET_DECODE), nullptr);
 	now_us += 31 * MS;
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -915,6 +915,30 @@
     await check_retry_after(d, d.endpoints[2], "stream", (300, 16))
 
 
+async def test_streams_that_end_do_not_bring_requests_back(d):
+    """Guards against requests to an endpoint that wants none for a time, since
+    streams that it had accepted before end well."""
+    await start_with_decoders(d, 2)
+    for e in decode_endpoints(d):
+        e.slots = 64
+    e = decode_endpoints(d)[0]
+    streams = [asyncio.ensure_future(
+        d.request("stream", host=i % 2, tokens=(300, 200 + 25 * i)))
+        for i in range(40)]
+    await asyncio.sleep(0.3)
+    assert len(e.running) >= 15, len(e.running)
+    e.retry_after = str(RETRY_AFTER_S)
+    n = len(e.call_times)
+    await send_for(d, RETRY_AFTER_S - 0.2, "stream", (300, 16))
+    calls = e.call_times[n:]
+    late = [t - calls[0] for t in calls if t > calls[0] + 1]
+    assert len(late) <= 2 * len(d.hosts), late
+    e.retry_after = None
+    for s in streams:
+        rid, r = await s
+        assert (r.status, r.complete) == (200, True), r.status
+
+
 async def test_refuses_at_once_if_all_endpoints_want_nothing(d):
     await start_small(d)
     for e in d.endpoints:
