pools: after its prefill a request asks again whether the endpoint wants it

What callers saw: nothing yet; found in a read of the code. Requests that had reserved memory at an endpoint were sent to it after their prefill, although it had answered another request with 503 and Retry-After meanwhile: each got a 503 and went elsewhere. Cause: between the reservation and the run only leaving and withdrawn endpoints were asked for again, not those that want nothing. Before: pools a_prefill_in_progress_does_not_bring_its_request_back: over 14 late requests of two hosts, four are allowed (two runs). After: it passes (three runs).

--- a/cmd/figbend/gateway/pools.c
+++ b/cmd/figbend/gateway/pools.c
@@ -631,7 +631,8 @@
 	}
 	if (req_refuse_if_blocked(r))
 		return;
-	if (!fleet_is_usable(&r->g->fleet, r->endpoint)) {
+	if (!fleet_is_usable(&r->g->fleet, r->endpoint) ||
+	    fleet_is_unwanted(r->endpoint, gateway_now_us(r->g))) {
 		/* The next decode endpoint can import the prefill result. */
 		log_step_failed(r, r->endpoint, "decode",
 				"endpoint no longer accepts requests");
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -939,6 +939,32 @@
         assert (r.status, r.complete) == (200, True), r.status
 
 
+async def test_a_prefill_in_progress_does_not_bring_its_request_back(d):
+    """Guards against requests that had reserved memory at an endpoint, and reach
+    it after their prefill although it wants nothing by then."""
+    await start_with_decoders(d, 2)
+    prefill, e = d.endpoints[0], decode_endpoints(d)[0]
+    prefill.work_s = 0.8
+    for decode in decode_endpoints(d):
+        decode.slots = 64
+    requests = [asyncio.ensure_future(
+        d.request("stream", host=i % 2, tokens=(300, 16)))
+        for i in range(40)]
+    await asyncio.sleep(0.2)
+    assert len(e.reservations) >= 15, len(e.reservations)
+    e.retry_after = str(RETRY_AFTER_S)
+    told = time.monotonic()
+    requests += [asyncio.ensure_future(
+        d.request("stream", host=i % 2, tokens=(300, 16)))
+        for i in range(8)]
+    await asyncio.sleep(RETRY_AFTER_S - 0.3)
+    late = [t - told for t in e.call_times if t > told + 0.5]
+    assert len(late) <= 2 * len(d.hosts), late
+    for r in requests:
+        rid, r = await r
+        assert (r.status, r.complete) == (200, True), r.status
+
+
 async def test_refuses_at_once_if_all_endpoints_want_nothing(d):
     await start_small(d)
     for e in d.endpoints:
