pools: an endpoint has capacity once an answer begins

What callers saw: nothing yet; found in a read of the code. After the time for which an endpoint wanted nothing, one request is sent to see whether it has capacity again. Without reservations that was known only at the end of its stream: others waited for seconds, or were refused. Before: pools returns_to_an_endpoint_once_its_first_answer_begins: a short request took 1.9 s behind a stream of 2 s (two runs). After: it passes (three runs).

--- a/cmd/figbend/gateway/pools.c
+++ b/cmd/figbend/gateway/pools.c
@@ -497,8 +497,10 @@
 		r->max_gap_us = now_us - r->last_event_us;
 	}
 	r->last_event_us = now_us;
-	if (!r->answer_began)
+	if (!r->answer_began) {
+		fleet_record_capacity(r->endpoint, r->sent_us);
 		crash_acquit(r);
+	}
 	r->answer_began = true;
 	count_growth(r);
 	if (r->route->resumable)
--- a/test/pools/deployment.py
+++ b/test/pools/deployment.py
@@ -110,6 +110,7 @@
         self.endpoints = []
         self.version = 0
         self.api_key, self.last_id = "key-one", 0
+        self.hold_ms = 2000  # 0 if engines take no reservations
         self.routes = [
             self.route("non_idempotent", "non_idempotent", "plain",
                        attempts=1),
@@ -139,7 +140,8 @@
                 {"Name": "model", "HealthCheckPath": "/health",
                  "ConnectionLimit": 100, "ColdStartS": 0, "ColdPerS": 0,
                  "Engine": {"Slots": 8, "KvCapacityTokens": 40000,
-                            "KvRetentionS": 0.5, "HoldMs": 2000, "Stride": 8,
+                            "KvRetentionS": 0.5, "HoldMs": self.hold_ms,
+                            "Stride": 8,
                             "Models": [{"Name": "m"}]}}],
             "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 100000,
                        "HeaderTimeoutMs": 1000, "IdleTimeoutMs": 5000},
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -965,6 +965,25 @@
         assert (r.status, r.complete) == (200, True), r.status
 
 
+async def test_returns_to_an_endpoint_once_its_first_answer_begins(d):
+    """Guards against requests that wait, or are refused, until the first one
+    after the time that an endpoint named has ended: a stream may be long."""
+    d.hold_ms = 0
+    await start_with_decoders(d, 1)
+    e = decode_endpoints(d)[0]
+    e.retry_after = "0.5"
+    assert (await d.request("stream", tokens=(300, 16)))[1].status == 503
+    e.retry_after = None
+    await asyncio.sleep(0.7)
+    first = asyncio.ensure_future(d.request("stream", tokens=(300, 800)))
+    await asyncio.sleep(0.3)
+    start = time.monotonic()
+    assert (await d.request("stream", tokens=(300, 16)))[1].status == 200
+    assert time.monotonic() - start < 0.5, time.monotonic() - start
+    rid, r = await first
+    assert r.complete and r.body == expected_events(rid, 100)
+
+
 async def test_refuses_at_once_if_all_endpoints_want_nothing(d):
     await start_small(d)
     for e in d.endpoints:
