--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+import json
 import os
 import signal
 import sys
@@ -373,6 +374,58 @@
         assert (await d.request(f"added{n}"))[1].status == 200, n
 
 
+LARGE_ROUTES = 1600
+# The users' large site: 354 hosts read 400 KB at 80 MB/s in 1.8 s, and a
+# configuration has to be in force after 4 s.
+READ_ALL_S = 1.8
+IN_FORCE_S = 4
+
+
+def add_many_routes(d):
+    """The next configuration takes the store as long to send to all hosts as on
+    the large site. Returns its size in bytes."""
+    d.routes += [d.route(f"r-{n * 7919 % 100003:07d}", "idempotent", "plain", 1)
+                 for n in range(LARGE_ROUTES)]
+    size = len(json.dumps(d.routes))
+    d.store.read_bytes_per_s = len(d.hosts) * size / READ_ALL_S
+    return size
+
+
+async def test_a_large_configuration_is_in_force_at_all_hosts_in_time(d):
+    """Guards against hosts that take the store's rate from each other: reads that
+    were given up, and sent again, kept it busy for good."""
+    await start_small(d)
+    await asyncio.sleep(5)  # until most hosts leave the reading to others
+    before, size = d.store.bytes_read, add_many_routes(d)
+    d.publish_config()
+    for _ in range(IN_FORCE_S * 10):
+        await asyncio.sleep(0.1)
+        n = hosts_that_logged(d, "config_in_force", f"version={d.version} ")
+        if n == len(d.hosts):
+            break
+    assert n == len(d.hosts), f"in force at {n} hosts"
+    await asyncio.sleep(3)
+    sent = (d.store.bytes_read - before) / size
+    assert sent <= len(d.hosts) + 8, f"{sent:.1f} times the configuration"
+
+
+test_a_large_configuration_is_in_force_at_all_hosts_in_time.hosts = 26
+
+
+async def test_all_hosts_start_with_a_large_configuration(d):
+    """The same when all hosts start, as after a loss of power."""
+    add_many_routes(d)
+    d.publish_config()
+    await d.add_endpoint("plain", "a")
+    await d.add_endpoint("plain", "b")
+    await d.start()
+    await d.wait_ready(RECOVERY_S)
+
+
+RECOVERY_S = 15
+test_all_hosts_start_with_a_large_configuration.hosts = 26
+
+
 async def test_ignores_an_older_configuration(d):
     await start_small(d)
     d.routes.append(d.route("added", "idempotent", "plain", 1))
--- a/test/pools/standins.py
+++ b/test/pools/standins.py
@@ -85,7 +85,9 @@
 
     Each host reads through a port of its own, so that faults can be limited to
     one host; the ports share their streams. delay_s delays responses to reads.
-    Modes:
+    With read_bytes_per_s, all reads share that rate, one after the other, also
+    those that nobody waits for any more; with 2 s of them waiting, further ones
+    get 503. Modes:
     "ok"       serves requests
     "hang"     accepts requests and never responds
     "refuse"   responds with 503
@@ -97,6 +99,10 @@
         self.streams = shared.streams if shared else {}
         self.first_offset = shared.first_offset if shared else {}
         self.waiters = shared.waiters if shared else []
+        self.root = shared or self
+        self.read_bytes_per_s = None  # of the root, and the next two
+        self.reads_end = 0.  # when the reads that wait will have been sent
+        self.bytes_read = 0
         self.mode = "ok"
         self.delay_s = 0
         self.calls = 0
@@ -126,11 +132,12 @@
             return True
         topic = query.get("Topic", "")
         if path == "/figbend/log-newest":
-            writer.write(self.snapshot(topic, query.get("after", "")))
+            out = self.snapshot(topic, query.get("after", ""))
+            writer.write(await self.at_read_rate(out))
         elif path == "/figbend/log-read":
             out = await self.read_records(topic, query)
             await asyncio.sleep(self.delay_s)
-            writer.write(out)
+            writer.write(await self.at_read_rate(out))
         elif path == "/figbend/log-append":
             n = struct.unpack(">I", body[:4])[0]
             record = body[4:4 + n]
@@ -144,6 +151,19 @@
         await writer.drain()
         return True
 
+    async def at_read_rate(self, out):
+        """Returns the response once its turn has come."""
+        root, now = self.root, time.monotonic()
+        root.bytes_read += len(out)
+        if not root.read_bytes_per_s:
+            return out
+        if root.reads_end - now > 2:
+            return http_response(503)
+        root.reads_end = (max(root.reads_end, now) +
+                          len(out) / root.read_bytes_per_s)
+        await asyncio.sleep(root.reads_end - now)
+        return out
+
     def snapshot(self, topic, after_key):
         items = {}
         for offset, (key, value, _) in enumerate(self.streams.get(topic, [])):
