record_fetch: hosts spread large configurations, compressed and at a bounded rate

Cause: a configuration over 32 KiB was read from the store by every host. Change: hosts send each other values compressed (zlib), at 400 kB/s each, and direct others to hosts that they have served (pkg/spread); only what has over 256 KB when compressed is read from the store by all. A host that starts leaves the configuration to the readers of its domain too. Ruled out: longer time-outs alone, since reads from the store take 1.8 s at 354 hosts and 5 s at 1,000, beside whatever waits before.

--- a/cmd/figbend/gateway/gateway.h
+++ b/cmd/figbend/gateway/gateway.h
@@ -18,6 +18,7 @@
 #include "ratelimit.h"
 #include "record.h"
 #include "relay.h"
+#include "spread.h"
 #include "stats.h"
 
 /*
@@ -123,6 +124,8 @@
 	int64_t suspects_sent_us; /* last time to a few hosts */
 
 	int64_t notices_sent_us; /* notices.c: last time to a few hosts */
+
+	struct spread spread; /* record_fetch.c */
 };
 
 /*
@@ -213,6 +216,14 @@
 /* Sends a one-way message to a host chosen at random, if any is known. */
 void heartbeat_send_random(struct gateway *g, const struct fig_call *call);
 
+/* record_fetch.c: records of the store's streams that hosts send each other. */
+void record_fetch_init(struct gateway *g);
+/* Fetches records from a host if this one lacks them, according to its message. */
+void record_fetch_if_behind(struct gateway *g, struct relay_host *h);
+/* Handles such a call of another host, as peer_call_fn; ctx is the gateway. */
+int record_fetch_on_call(void *ctx, const struct wire_opened *from,
+			 struct fig_reply *reply);
+
 /*
  * cleanup.c: releases what a request no longer needs at an endpoint. No request
  * waits for the outcome; what is not released expires at the endpoint.
--- a/cmd/figbend/gateway/heartbeat.c
+++ b/cmd/figbend/gateway/heartbeat.c
@@ -11,8 +11,7 @@
 /*
  * The other hosts and the messages exchanged with them. pkg/relay decides what
  * is sent to whom, and what this host knows of the others; here it is carried
- * over the network and put into effect. A host that cannot read the store, or
- * leaves that to others, fetches the records from a host that has them.
+ * over the network and put into effect.
  */
 
 /* Part of limit_slack that is added to every burst, so that consumption which
@@ -22,10 +21,6 @@
  * this interval. */
 #define DELEGATES_INTERVAL_S 0.6
 #define MESH_INTERVAL_PER_HOST_S 0.01
-#define FETCH_TIMEOUT_MS 800
-/* Records of operators that are larger are read from the store, whose link is
- * wider: half of the hosts of a domain ask each delegate at the same time. */
-#define OPERATORS_MAX_BYTES 32768
 /* Separates the domain from the name in the key of a host's record. */
 #define KEY_SEPARATOR '/'
 
@@ -102,133 +97,6 @@
 	}
 }
 
-/* A call for records; the host may be removed before the response. */
-struct fetch {
-	struct gateway *g;
-	char name[RELAY_NAME_BYTES];
-};
-
-static void on_records(void *ctx, int error, const struct fig_reply *reply)
-{
-	struct fetch *f = ctx;
-	struct gateway *g = f->g;
-	struct relay_host *h = relay_find(&g->relay, f->name);
-	const struct fig_records_got *got;
-	uint32_t i;
-
-	if (h)
-		h->fetching = false;
-	if (error || !reply) {
-		free(f);
-		return;
-	}
-	got = &reply->fig_reply_u.records_got;
-	for (i = 0; got->topic < FIG_STREAMS && i < got->record.record_len;
-	     i++) {
-		const struct fig_record *r = &got->record.record_val[i];
-
-		store_reader_apply(g, (enum adapter_topic)got->topic, r->key,
-				   r->gone ? NULL : r->value.value_val,
-				   r->value.value_len, r->offset, f->name);
-	}
-	if (got->topic < FIG_STREAMS &&
-	    got->upto > g->records[got->topic].next_offset)
-		g->records[got->topic].next_offset = got->upto;
-	else if (got->topic == ADAPTER_OPERATORS && !got->upto)
-		store_reader_poll(g, ADAPTER_OPERATORS);
-	free(f);
-}
-
-/* Fetches records from a host if this one lacks them, one stream at a time. */
-static void fetch_if_behind(struct gateway *g, struct relay_host *h)
-{
-	struct fig_call call = {.kind = FIG_RECORDS_GET};
-	struct fetch *f;
-	int t;
-
-	for (t = 0; t < FIG_STREAMS && !h->fetching; t++) {
-		if (!store_reader_check_lag(g, (enum adapter_topic)t,
-					    h->next_offset[t]))
-			continue;
-		f = calloc(1, sizeof(*f));
-		if (!f)
-			return;
-		f->g = g;
-		snprintf(f->name, sizeof(f->name), "%s", h->name);
-		call.fig_call_u.records_get.topic = (u_int)t;
-		call.fig_call_u.records_get.from = g->records[t].next_offset;
-		h->fetching = true;
-		if (peer_call(&g->peer, h->addr, &call, FETCH_TIMEOUT_MS,
-			      on_records, f) < 0) {
-			h->fetching = false;
-			free(f);
-		}
-	}
-}
-
-static size_t records_bytes(const struct records *r, uint64_t from)
-{
-	size_t n = 0;
-	uint32_t i;
-
-	for (i = 0; i < r->n; i++)
-		if (r->row[i].offset >= from)
-			n += r->row[i].value_bytes;
-	return n;
-}
-
-/*
- * Fills a reply with all records from an offset on, or with none up to offset 0
- * if they are too large. Returns 0 or a negative error number; the caller frees
- * the reply in either case.
- */
-static int fill_records(struct gateway *g, const struct fig_records_get *get,
-			struct fig_records_got *got)
-{
-	const struct records *r;
-	struct fig_record *row;
-	uint32_t i;
-
-	if (get->topic >= FIG_STREAMS)
-		return -EINVAL;
-	r = &g->records[get->topic];
-	got->topic = get->topic;
-	if (get->topic == ADAPTER_OPERATORS &&
-	    records_bytes(r, get->from) > OPERATORS_MAX_BYTES)
-		return 0;
-	got->upto = r->next_offset;
-	got->record.record_val = calloc(r->n + 1, sizeof(*row));
-	if (!got->record.record_val)
-		return -ENOMEM;
-	for (i = 0; i < r->n; i++) {
-		if (r->row[i].offset < get->from)
-			continue;
-		row = &got->record.record_val[got->record.record_len++];
-		row->key = strdup(r->row[i].key);
-		row->gone = !r->row[i].value;
-		row->offset = r->row[i].offset;
-		row->value.value_val = malloc(r->row[i].value_bytes + 1);
-		if (!row->key || !row->value.value_val)
-			return -ENOMEM;
-		if (r->row[i].value)
-			memcpy(row->value.value_val, r->row[i].value,
-			       r->row[i].value_bytes);
-		row->value.value_len = (u_int)r->row[i].value_bytes;
-	}
-	return 0;
-}
-
-static int on_call(void *ctx, const struct wire_opened *from,
-		   struct fig_reply *reply)
-{
-	struct gateway *g = ctx;
-
-	if (from->call.kind != FIG_RECORDS_GET)
-		return -ENOSYS;
-	return fill_records(g, &from->call.fig_call_u.records_get,
-			    &reply->fig_reply_u.records_got);
-}
-
 /*
  * Returns what messages report of this host's readers of the store's streams:
  * FIG_FOLLOWS if all read the store. Otherwise the first one that does not
@@ -430,7 +298,7 @@
 	stats_add(&g->stats, STATS_PEER_MESSAGES, 1);
 	g->loads_changed = true;
 	if (h && h->addr[0])
-		fetch_if_behind(g, h);
+		record_fetch_if_behind(g, h);
 }
 
 /*
@@ -563,6 +431,7 @@
 {
 	int r;
 
+	record_fetch_init(g);
 	ratelimit_init(&g->ratelimit);
 	g->ratelimit.slack = g->settings->limit_slack * BURST_SLACK_PART;
 	r = relay_init(&g->relay, g->settings->host, g->settings->domain,
@@ -571,7 +440,7 @@
 		return r;
 	r = peer_init(&g->peer, g->loop, g->settings->peer_addr,
 		      g->settings->host, g->settings->secret, g->boot_us,
-		      on_call, on_message, g);
+		      record_fetch_on_call, on_message, g);
 	if (r < 0)
 		return r;
 	ev_timer_init(&g->heartbeat_timer, on_heartbeat_timer,
--- a/cmd/figbend/gateway/store_reader.c
+++ b/cmd/figbend/gateway/store_reader.c
@@ -19,8 +19,8 @@
  * Two hosts of a domain read the streams. The others are passive: they fetch
  * records from peers, or read them from the store if a peer says that they are
  * too large. A host that starts first looks for hosts of its domain in one page
- * of the hosts' snapshot; if two of them rank before it, it leaves the rest to
- * them.
+ * of the hosts' snapshot, and reads nothing else until then; if two of them rank
+ * before it, it leaves the rest to them.
  */
 
 /* The mean wait of a poll is this times the number of hosts that read. */
@@ -50,6 +50,9 @@
 #define START_WAIT_US 3000000LL
 /* Time for a first message of theirs. */
 #define START_PAUSE_S 0.5
+/* The other streams are read after this time even if the page with the hosts of the
+ * domain is still missing. */
+#define START_PAGE_S 0.8
 #define BACKOFF_MIN_S 0.15
 #define BACKOFF_MAX_S 1.0
 /* Entries that expired while the store was unavailable are published again
@@ -362,6 +365,17 @@
 	return 0;
 }
 
+/* Starts the streams that wait for the hosts of the domain. */
+static void start_others(struct gateway *g)
+{
+	int t;
+
+	for (t = 0; t < ADAPTER_HOSTS; t++)
+		if (!g->reader[t].exchange.conn && !g->reader[t].last_ok_us &&
+		    !g->reader[t].failures)
+			set_timer(&g->reader[t], 0);
+}
+
 /*
  * Applies the first page of the hosts' snapshot that begins with this domain.
  * The snapshot itself begins after a pause, if it is still needed.
@@ -377,6 +391,7 @@
 
 	sr->domain_page = false;
 	start_snapshot(sr);
+	start_others(sr->g);
 	return r;
 }
 
@@ -523,7 +538,7 @@
 	const struct gateway *g = sr->g;
 	bool empty = !g->records[sr->topic].next_offset;
 
-	if (sr->domain_page || (sr->topic == ADAPTER_OPERATORS && empty))
+	if (sr->domain_page)
 		return false;
 	if (gateway_now_us(g) - g->relay.start_us < START_WAIT_US &&
 	    relay_has_seniors(&g->relay))
@@ -626,8 +641,9 @@
 		return true;
 	if (!stuck)
 		return false;
-	/* A read that was sent again may only be slow: it is not canceled. */
-	if (sr->exchange.conn && !sr->reissued) {
+	/* A read that was sent again, or follows a failed one, may only be
+	 * slow: it is not canceled. */
+	if (sr->exchange.conn && !sr->reissued && !sr->failures) {
 		logline(LOG_WARNING, "store_behind",
 			"stream=%d upto=%llu others=%llu", t,
 			(unsigned long long)g->records[t].next_offset,
@@ -665,7 +681,7 @@
 		sr->timer.data = sr;
 		start_snapshot(sr);
 		sr->domain_page = t == ADAPTER_HOSTS;
-		set_timer(sr, t == ADAPTER_ENDPOINTS ? START_PAUSE_S / 2 : 0.);
+		set_timer(sr, t == ADAPTER_HOSTS ? 0. : START_PAGE_S);
 	}
 	ev_timer_init(&g->register_timer, on_register_timer, 0., BACKOFF_MAX_S);
 	g->register_timer.data = g;
--- a/pkg/record/record.c
+++ b/pkg/record/record.c
@@ -3,13 +3,30 @@
 #include <errno.h>
 #include <stdlib.h>
 #include <string.h>
+#include <zlib.h>
+
+/* Smaller values are not worth the time to compress them. */
+#define PACK_MIN_BYTES 4096
+/* Nearly as small as the default level, in half of the time. */
+#define PACK_LEVEL 3
+
+/* Replaces the value, which is NULL if the key was deleted; takes it over. */
+static void set_value(struct record *row, char *value, size_t n)
+{
+	free(row->value);
+	free(row->packed);
+	row->value = value;
+	row->value_bytes = n;
+	row->packed = NULL;
+	row->packed_bytes = 0;
+}
 
 void records_finish(struct records *r)
 {
 	uint32_t i;
 
 	for (i = 0; i < r->n; i++)
-		free(r->row[i].value);
+		set_value(&r->row[i], NULL, 0);
 	free(r->row);
 	memset(r, 0, sizeof(*r));
 }
@@ -75,13 +92,57 @@
 		return -ENOMEM;
 	}
 	row->in_snapshot = true;
-	free(row->value);
-	row->value = copy;
-	row->value_bytes = copy ? n : 0;
+	set_value(row, copy, copy ? n : 0);
 	row->offset = offset;
 	return known || copy ? 1 : 0;
 }
 
+const char *records_pack(struct records *r, uint32_t i, size_t *n)
+{
+	struct record *row = &r->row[i];
+	uLongf packed_bytes = compressBound(row->value_bytes);
+	char *packed, *shrunk;
+
+	*n = row->packed_bytes;
+	if (row->packed || row->value_bytes < PACK_MIN_BYTES)
+		return row->packed;
+	packed = malloc(packed_bytes);
+	if (!packed)
+		return NULL;
+	if (compress2((Bytef *)packed, &packed_bytes, (Bytef *)row->value,
+		      row->value_bytes, PACK_LEVEL) != Z_OK ||
+	    packed_bytes >= row->value_bytes) {
+		free(packed);
+		return NULL;
+	}
+	/* The bound is larger than the value. */
+	shrunk = realloc(packed, packed_bytes);
+	row->packed = shrunk ? shrunk : packed;
+	row->packed_bytes = packed_bytes;
+	*n = packed_bytes;
+	return row->packed;
+}
+
+char *record_unpack(const char *packed, size_t n, size_t value_bytes)
+{
+	uLongf unpacked_bytes = value_bytes;
+	char *value;
+
+	if (value_bytes > RECORD_UNPACKED_MAX_BYTES)
+		return NULL;
+	value = malloc(value_bytes + 1);
+	if (!value)
+		return NULL;
+	if (uncompress((Bytef *)value, &unpacked_bytes, (const Bytef *)packed,
+		       n) != Z_OK ||
+	    unpacked_bytes != value_bytes) {
+		free(value);
+		return NULL;
+	}
+	value[value_bytes] = '\0';
+	return value;
+}
+
 void records_snapshot_start(struct records *r)
 {
 	uint32_t i;
@@ -100,9 +161,7 @@
 		row = &r->row[i];
 		if (row->in_snapshot || !row->value || row->offset >= end)
 			continue;
-		free(row->value);
-		row->value = NULL;
-		row->value_bytes = 0;
+		set_value(row, NULL, 0);
 		row->offset = end;
 		deleted(ctx, row->key, NULL, 0, end);
 	}
--- a/pkg/record/record.h
+++ b/pkg/record/record.h
@@ -14,6 +14,7 @@
  */
 
 #define RECORD_KEY_BYTES 256
+#define RECORD_UNPACKED_MAX_BYTES 8388608
 
 struct record {
 	char key[RECORD_KEY_BYTES];
@@ -21,6 +22,9 @@
 	size_t value_bytes;
 	uint64_t offset;  /* position in the stream */
 	bool in_snapshot; /* seen in the snapshot that is being read */
+	/* The value compressed, once it was asked for; owned. */
+	char *packed;
+	size_t packed_bytes;
 };
 
 /*
@@ -53,6 +57,18 @@
  * until the next call that changes r.
  */
 const struct record *records_find(const struct records *r, const char *key);
+/*
+ * Returns the compressed value (zlib) of the record in row i and sets *n to its
+ * bytes. It is made once and kept until the value changes. NULL if the value is
+ * small, does not become smaller, or memory is exhausted.
+ */
+const char *records_pack(struct records *r, uint32_t i, size_t *n);
+/*
+ * Returns a value of value_bytes bytes from its compressed form of n bytes, in
+ * memory that the caller frees, followed by a 0; NULL if it is malformed, larger
+ * than RECORD_UNPACKED_MAX_BYTES, or memory is exhausted.
+ */
+char *record_unpack(const char *packed, size_t n, size_t value_bytes);
 /*
  * Called before and after the records of a snapshot are passed to records_put.
  * records_snapshot_end() deletes the keys that the snapshot lacks, unless their
--- a/pkg/record/test/record_test.cc
+++ b/pkg/record/test/record_test.cc
@@ -88,3 +88,59 @@
 	EXPECT_FALSE(records_lag_update(&l, 7, 9, 80000, 400000))
 		<< "progress ends the lag";
 }
+
+static std::string large_value()
+{
+	std::string value;
+
+	for (int i = 0; i < 1000; i++)
+		value += "{\"Name\":\"r-" + std::to_string(i * 7919) + "\"},";
+	return value;
+}
+
+TEST(Records, ArePackedAndUnpacked)
+{
+	std::string value = large_value();
+	Stream stream;
+	const char *packed;
+	char *unpacked;
+	size_t n = 0;
+
+	stream.put("a", value.c_str(), 1);
+	packed = records_pack(&stream.records, 0, &n);
+	ASSERT_NE(packed, nullptr);
+	EXPECT_LT(n, value.size() / 3);
+	EXPECT_EQ(records_pack(&stream.records, 0, &n), packed) << "kept";
+	unpacked = record_unpack(packed, n, value.size());
+	ASSERT_NE(unpacked, nullptr);
+	EXPECT_EQ(unpacked, value);
+	free(unpacked);
+	EXPECT_EQ(record_unpack(packed, n, value.size() - 1), nullptr);
+	EXPECT_EQ(record_unpack(packed, n, value.size() + 1), nullptr);
+	EXPECT_EQ(record_unpack(packed, n / 2, value.size()), nullptr);
+	EXPECT_EQ(record_unpack(value.c_str(), value.size(), 100), nullptr);
+	EXPECT_EQ(record_unpack(packed, n, (size_t)1 << 40), nullptr);
+}
+
+TEST(Records, ArePackedAnewWhenTheirValueChanges)
+{
+	std::string value = large_value(), changed = value + "x";
+	Stream stream;
+	char *unpacked;
+	const char *packed;
+	size_t n = 0;
+
+	stream.put("a", value.c_str(), 1);
+	records_pack(&stream.records, 0, &n);
+	stream.put("a", changed.c_str(), 2);
+	packed = records_pack(&stream.records, 0, &n);
+	ASSERT_NE(packed, nullptr);
+	unpacked = record_unpack(packed, n, changed.size());
+	ASSERT_NE(unpacked, nullptr);
+	EXPECT_EQ(unpacked, changed);
+	free(unpacked);
+	stream.put("a", nullptr, 3);
+	EXPECT_EQ(records_pack(&stream.records, 0, &n), nullptr);
+	stream.put("b", "small", 4);
+	EXPECT_EQ(records_pack(&stream.records, 1, &n), nullptr);
+}
--- a/pkg/stats/stats.h
+++ b/pkg/stats/stats.h
@@ -66,6 +66,8 @@
 	X(CONNECTS, "connects", "connections opened to endpoints")             \
 	X(PEER_MESSAGES, "peer_messages", "messages from other hosts")         \
 	X(PEER_BYTES, "peer_bytes", "bytes exchanged with other hosts")        \
+	X(FETCHES_REFUSED, "fetches_refused",                                  \
+	  "fetches of records that were directed to other hosts")              \
 	X(LOG_LINES_DROPPED, "log_lines_dropped", "log lines left out")
 
 enum stats_counter {
--- a/pkg/wire/fig_msg.x
+++ b/pkg/wire/fig_msg.x
@@ -328,6 +328,7 @@
 struct fig_records_get {
 	unsigned int topic;
 	unsigned hyper from;
+	bool takes_packed; /* since minor 4: compressed values in the reply */
 };
 
 struct fig_record {
@@ -341,6 +342,12 @@
 	unsigned int topic;
 	unsigned hyper upto;
 	fig_record record<FIG_RECORDS_MAX>;
+	/* Since minor 4. The bytes of each value before it was compressed, 0 for a
+	 * value that was not. */
+	unsigned int unpacked_bytes<FIG_RECORDS_MAX>;
+	/* Nothing is sent now; instead has the records or is about to get them. */
+	bool busy;
+	fig_name *instead;
 };
 
 union fig_call switch (fig_kind kind) {
--- a/pkg/wire/gen/fig_msg.h
+++ b/pkg/wire/gen/fig_msg.h
@@ -382,6 +382,7 @@
 struct fig_records_get {
 	u_int topic;
 	u_quad_t from;
+	bool_t takes_packed;
 };
 typedef struct fig_records_get fig_records_get;
 
@@ -403,6 +404,12 @@
 		u_int record_len;
 		fig_record *record_val;
 	} record;
+	struct {
+		u_int unpacked_bytes_len;
+		u_int *unpacked_bytes_val;
+	} unpacked_bytes;
+	bool_t busy;
+	fig_name *instead;
 };
 typedef struct fig_records_got fig_records_got;
 
--- a/pkg/wire/gen/fig_msg_xdr.c
+++ b/pkg/wire/gen/fig_msg_xdr.c
@@ -851,6 +851,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->from))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->takes_packed))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -882,6 +884,13 @@
 	 if (!xdr_array (xdrs, (char **)&objp->record.record_val, (u_int *) &objp->record.record_len, FIG_RECORDS_MAX,
 		sizeof (fig_record), (xdrproc_t) xdr_fig_record))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->unpacked_bytes.unpacked_bytes_val, (u_int *) &objp->unpacked_bytes.unpacked_bytes_len, FIG_RECORDS_MAX,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->busy))
+		 return FALSE;
+	 if (!xdr_pointer (xdrs, (char **)&objp->instead, sizeof (fig_name), (xdrproc_t) xdr_fig_name))
+		 return FALSE;
 	return TRUE;
 }
 
