ratelimit: hosts that are not heard of keep their part of the burst too

Cause: a host that is cut off refills its bucket at its part of the rate, but keeps a whole burst: 103 hosts with full buckets admit all that their callers request, beside the others, who leave them only their part of the rate. Change: a bucket is full at the burst times the part of living hosts. Retry-After counts with the rate that is in fact refilled. Ruled out: a lower rate alone, since the burst is spent at once.

--- a/pkg/ratelimit/ratelimit.c
+++ b/pkg/ratelimit/ratelimit.c
@@ -44,17 +44,28 @@
 	return NULL;
 }
 
+/* Returns the part of rate and burst that silent hosts leave to the others. */
+static double living_part(const struct ratelimit *rl)
+{
+	return (double)rl->living_hosts / rl->n_hosts;
+}
+
+/* Returns the level of a full bucket. */
+static double full_level(const struct ratelimit *rl,
+			 const struct ratelimit_account *a)
+{
+	return a->burst * living_part(rl);
+}
+
 /* Refills a bucket up to now, less the part that silent hosts may use. */
 static void refill(struct ratelimit *rl, struct ratelimit_account *a,
 		   int64_t now_us)
 {
-	double part = (double)rl->living_hosts / rl->n_hosts;
-
 	if (now_us > a->refilled_us)
-		a->level += a->rate_per_s * part *
+		a->level += a->rate_per_s * living_part(rl) *
 			    (double)(now_us - a->refilled_us) / 1e6;
-	if (a->level > a->burst)
-		a->level = a->burst;
+	if (a->level > full_level(rl, a))
+		a->level = full_level(rl, a);
 	a->refilled_us = now_us;
 }
 
@@ -80,8 +91,7 @@
 		a->level = 0;
 	a->rate_per_s = rate_per_s;
 	a->burst = burst;
-	if (a->level > burst)
-		a->level = burst;
+	refill(rl, a, now_us);
 	return 0;
 }
 
@@ -123,7 +133,7 @@
 {
 	double level = amount + unseen_part(rl, a, now_us);
 
-	return level < a->burst ? level : a->burst;
+	return level < full_level(rl, a) ? level : full_level(rl, a);
 }
 
 bool ratelimit_consume(struct ratelimit *rl, const char *name, double amount,
@@ -166,7 +176,9 @@
 		return 0;
 	refill(rl, a, now_us);
 	amount = required_level(rl, a, amount, now_us);
-	return a->level >= amount ? 0 : (amount - a->level) / a->rate_per_s;
+	if (a->level >= amount)
+		return 0;
+	return (amount - a->level) / (a->rate_per_s * living_part(rl));
 }
 
 uint64_t ratelimit_refused_key(uint64_t key)
--- a/pkg/ratelimit/ratelimit.h
+++ b/pkg/ratelimit/ratelimit.h
@@ -9,8 +9,8 @@
  * account, replicated on every host. A host admits requests by its own bucket;
  * what other hosts consume is deducted as it becomes known (pkg/relay). So all
  * buckets have the same level, except for consumption that is not known yet. A
- * host that is not heard of is assumed to consume an equal part of the rate, so
- * that hosts that cannot reach each other do not exceed the limit together.
+ * host that is not heard of is assumed to consume an equal part of rate and burst,
+ * so that hosts that cannot reach each other do not exceed the limit together.
  *
  * What other hosts have consumed since this host last heard of them is estimated
  * from what their callers requested lately. While a bucket holds less than that,
--- a/pkg/relay/test/limits_test.cc
+++ b/pkg/relay/test/limits_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <set>
+
 #include "network.h"
 
 /*
@@ -221,6 +223,33 @@
 		}
 }
 
+/* Guards against hosts that are cut off, each by itself, with full buckets: each of
+ * them admitted all that its callers requested, when an account exceeded its limit. */
+TEST(Limits, HoldWhileManyHostsAreCutOffOneByOne)
+{
+	for (uint64_t seed = 1; seed <= 3; seed++) {
+		Limits l(120, 6, seed, 178000, 178000, 190000, 3700);
+		std::set<const Network::Node *> cut;
+
+		l.demand_x = 0.5;
+		l.run(6 * S);
+		for (auto &n : l.net.node)
+			if (l.net.random() % 100 < 35)
+				cut.insert(n.get());
+		l.net.reaches = [&](const Network::Node &a,
+				    const Network::Node &b) {
+			return !cut.count(&a) && !cut.count(&b);
+		};
+		l.run(2 * S);
+		l.demand_x = 6;
+		l.run(11 * S);
+		cut.clear();
+		l.run(6 * S);
+		EXPECT_LE(l.most_in(8 * S), l.allowed()) << "seed " << seed;
+		EXPECT_GE(l.most_in(8 * S), 6 * l.rate) << "seed " << seed;
+	}
+}
+
 TEST(Limits, HoldAcrossTheRestartOfAHost)
 {
 	Limits l(8, 2, 3, 1000, 1000, 0, 10);
