pools: a stream without length or chunks that has no event has been broken off

Cause: a stream that ends with its connection was taken for whole wherever it ended between events, also before the first one. A crashed process closes its connections in order if it has read all that was sent to it. Change: such a stream without an event counts as a connection that broke: resumed, or 502. Between later events the end cannot be told from a break: the protocol has no other sign. Before: pools a_stream_without_length_or_chunks_has_an_event: 200, complete, empty.

The checks are as they were.

--- a/cmd/figbend/gateway/pools.c
+++ b/cmd/figbend/gateway/pools.c
@@ -458,6 +458,7 @@
 		return H1_DISCARD;
 	}
 	r->has_signature = response.signature && !response.encoded;
+	r->until_close = h->framing == H1_UNTIL_CLOSE;
 	req_drop_response(r);
 	if (!r->response_started) {
 		h1_buf_finish(&r->fields);
@@ -570,6 +571,13 @@
 			      "stream ended within an event");
 		return;
 	}
+	/* A crashed endpoint may close its connections in order. */
+	if (r->until_close && !r->answer_began) {
+		crash_charge(r);
+		decode_failed(r, FLEET_FAILED, true,
+			      "stream ended before its first event");
+		return;
+	}
 	fleet_record_outcome(r->endpoint, FLEET_SUCCESS, now_us - r->sent_us,
 			     now_us);
 	if (!r->response_started) {
--- a/cmd/figbend/gateway/req.h
+++ b/cmd/figbend/gateway/req.h
@@ -73,6 +73,7 @@
 	uint16_t status;
 	bool not_executed;    /* stated by the endpoint: it executed nothing */
 	bool has_signature;   /* signed by the endpoint, body not re-encoded */
+	bool until_close;     /* ends when the connection closes */
 	struct h1_buf fields; /* header lines that go on to the caller */
 	struct h1_buf body;
 
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -256,6 +256,22 @@
         assert r.body == expected_events(rid, 10), (fault, r.body)
 
 
+async def test_a_stream_without_length_or_chunks_has_an_event(d):
+    """Guards against an empty stream that seems complete: an engine that crashed
+    before the first event closed the connection in order."""
+    await start_small(d)
+    for route, e in zip(("stream", "resumable"), decode_endpoints(d)):
+        e.faults = ["until_close_no_event"]
+        while e.faults:
+            rid, r = await d.request(route, tokens=(3000, 80))
+        if route == "resumable":
+            assert (r.status, r.complete) == (200, True), r.status
+            assert r.body == expected_events(rid, 10), r.body
+        else:
+            assert r.status == 502, (r.status, r.complete, r.body)
+        await asyncio.sleep(1)  # ejections end
+
+
 async def test_never_puts_an_error_into_a_stream(d):
     """Guards against an error of the next endpoint, after a stream broke off,
     that callers get as events, or as the end of a complete stream."""
--- a/test/pools/standins.py
+++ b/test/pools/standins.py
@@ -230,6 +230,7 @@
     "only_comment"    ends after a comment, without an event
     "until_close"     neither a length nor chunks: the connection ends it
     "until_close_truncate_event"  the same, and closes within the fourth event
+    "until_close_no_event"  the same, and closes before the first event
 
     A body that contains "poison" crashes the endpoint, except at the prefill
     stage, and so does a prompt with the part "dead".
@@ -488,6 +489,9 @@
                           "".join(f"{k}: {v}\r\n" for k, v in
                                   {**identity, **self.notices()}.items()) +
                           "\r\n").encode())
+            if fault == "until_close_no_event":
+                await writer.drain()
+                return False
             if fault == "only_comment":
                 writer.write(b"5\r\n: k\n\n\r\n0\r\n\r\n")
                 await writer.drain()
--- a/test/soak/proxy.py
+++ b/test/soak/proxy.py
@@ -9,7 +9,8 @@
     "ok"              forwards data
     "delay"           delays data by 100 ms in each direction
     "blackhole"       holds data back and keeps connections open
-    "drop_responses"  discards data from the server
+    "drop_responses"  discards data from the server, for good on a connection
+                      that lost some: TCP does not deliver what follows a gap
     "reset"           resets new connections
     """
 
@@ -49,6 +50,7 @@
             self.writers.discard(writer)
 
     async def pump(self, reader, writer, is_response):
+        dropped = False
         try:
             while True:
                 data = await reader.read(65536)
@@ -58,12 +60,14 @@
                     await asyncio.sleep(0.1)
                 if not data:
                     break
-                if self.mode == "drop_responses" and is_response:
+                dropped |= self.mode == "drop_responses" and is_response
+                if dropped:
                     continue
                 writer.write(data)
                 await writer.drain()
         except (OSError, ConnectionError):
-            pass
+            # A reset stays one.
+            writer.transport.abort()
         finally:
             self.writers.discard(writer)
             writer.close()
