store_reader: hosts beyond the first two of a domain try a store in trouble in turn

Cause: when no host of a domain can read the store, each read all streams itself, also those that leave it to others otherwise. Change: the first two go on as before; the others wait for a random turn, so that all of them together try as often as two. A host whose reads fail leaves them to others again once these read.

--- a/cmd/figbend/gateway/gateway.h
+++ b/cmd/figbend/gateway/gateway.h
@@ -45,6 +45,7 @@
 	bool in_snapshot; /* reads pages of the snapshot, not records */
 	bool domain_page; /* reads the page with the hosts of this domain */
 	bool reissued;	  /* the read was sent again, as this host lagged */
+	bool timed_out;	  /* the last read did */
 	/* The next read is made even by a passive reader, and does not wait. */
 	bool poll_now;
 	bool passive; /* leaves the stream to other hosts of the domain */
@@ -56,6 +57,9 @@
 	int64_t last_ok_us;   /* last successful read; 0 if none */
 	int64_t recovered_us; /* first response after failures; 0 if none */
 	uint32_t failures;    /* consecutive */
+	int64_t turn_us; /* the next read is not before it, but for poll_now */
+	/* Passive, although no other host reads, until turn_us. */
+	bool awaits_turn;
 };
 
 struct cleanup;
--- a/cmd/figbend/gateway/store_reader.c
+++ b/cmd/figbend/gateway/store_reader.c
@@ -32,6 +32,10 @@
 /* Time-out of a read after its wait, and between parts of the response. A slow
  * store responds within 0.4 s. */
 #define READ_TIMEOUT_S 0.8
+/* The same after a read that timed out. A store that is busy with the reads of many
+ * hosts is so for longer if they give up, since it sends what they asked for all the
+ * same. */
+#define READ_TIMEOUT_AGAIN_S 1.6
 /* The store sends 1 MiB of records at most in one response. */
 #define RESPONSE_MAX_BYTES 8388608
 /* Pause after new records of endpoints. A rollout changes many entries, and
@@ -51,10 +55,15 @@
 /* Time for a first message of theirs. */
 #define START_PAUSE_S 0.5
 /* The other streams are read after this time even if the page with the hosts of the
- * domain is still missing. */
-#define START_PAGE_S 0.8
+ * domain is still missing. A host that knows no others reads all by itself. */
+#define START_PAGE_S 5.0
 #define BACKOFF_MIN_S 0.15
 #define BACKOFF_MAX_S 1.0
+/* While no host of a domain can read the store, those beyond its first two try it as
+ * often as this many. */
+#define TRIERS 2
+/* Mean time until one of that many hosts tries it first. */
+#define FIRST_TRY_S 0.25
 /* Entries that expired while the store was unavailable are published again
  * within about 2 s of its recovery. */
 #define RECOVERY_US 2000000LL
@@ -322,6 +331,32 @@
 	}
 }
 
+/* Returns how many times as long this host waits between two tries as it would if it
+ * were one of the first two of its domain. */
+static double turns(const struct gateway *g)
+{
+	double n = (double)(g->relay.own_domain->known + 1) / TRIERS;
+
+	return relay_has_seniors(&g->relay) && n > 1 ? n : 1;
+}
+
+static double random_fraction(struct gateway *g)
+{
+	return (double)(gateway_random(g) % 1000000) / 1e6;
+}
+
+/* No host of the domain reads the stream any more, as far as this one knows: it
+ * tries after a random time, so that the hosts do not all try at once. */
+static void wait_for_turn(struct store_reader *sr)
+{
+	struct gateway *g = sr->g;
+
+	sr->turn_us = gateway_now_us(g);
+	if (turns(g) > 1)
+		sr->turn_us += (int64_t)(2e6 * FIRST_TRY_S * turns(g) *
+					 random_fraction(g));
+}
+
 /* Schedules the next read after a failed one, with exponential backoff. */
 static void read_failed(struct store_reader *sr, const char *reason)
 {
@@ -337,7 +372,11 @@
 		after_s *= 2;
 	if (after_s > BACKOFF_MAX_S)
 		after_s = BACKOFF_MAX_S;
-	set_timer(sr, after_s);
+	if (turns(sr->g) > 1)
+		after_s = BACKOFF_MAX_S * turns(sr->g) *
+			  (0.5 + random_fraction(sr->g));
+	sr->turn_us = gateway_now_us(sr->g) + (int64_t)(after_s * 1e6);
+	set_timer(sr, after_s < PASSIVE_CHECK_S ? after_s : PASSIVE_CHECK_S);
 }
 
 /*
@@ -457,6 +496,11 @@
 	set_timer(sr, was_snapshot ? after_s : read_interval_s(sr));
 }
 
+static double read_timeout_s(const struct store_reader *sr)
+{
+	return sr->timed_out ? READ_TIMEOUT_AGAIN_S : READ_TIMEOUT_S;
+}
+
 static enum h1_verdict on_head(void *ctx, const struct h1_head *h)
 {
 	struct store_reader *sr = ctx;
@@ -476,7 +520,7 @@
 		return;
 	}
 	/* A large response may take longer over a slow link. */
-	set_timer(sr, READ_TIMEOUT_S);
+	set_timer(sr, read_timeout_s(sr));
 }
 
 static void on_end(void *ctx, enum h1_outcome outcome, const char *reason)
@@ -485,6 +529,7 @@
 
 	ev_timer_stop(sr->g->loop, &sr->timer);
 	sr->reissued = false;
+	sr->timed_out = false;
 	if (outcome == H1_COMPLETE)
 		on_response(sr);
 	else
@@ -498,7 +543,7 @@
 	struct gateway *g = sr->g;
 	struct sockaddr_in addr;
 	struct h1_buf request = {0};
-	double timeout_s = READ_TIMEOUT_S;
+	double timeout_s = read_timeout_s(sr);
 	uint32_t wait_ms = poll_wait_ms(sr);
 
 	if (sr->domain_page) {
@@ -546,6 +591,36 @@
 	return !empty && heartbeat_may_be_passive(g);
 }
 
+/* Reads, or waits: for other hosts of the domain that do, or for this host's turn. */
+static void schedule(struct store_reader *sr)
+{
+	int64_t now_us = gateway_now_us(sr->g);
+	bool others_read = may_be_passive(sr);
+	double wait_s;
+
+	if (sr->poll_now) {
+		start_read(sr);
+		return;
+	}
+	if (others_read && sr->failures) {
+		logline(LOG_NOTICE, "store_left_to_others",
+			"stream=%d failures=%u", sr->topic, sr->failures);
+		sr->failures = 0;
+		sr->recovered_us = now_us;
+	}
+	if (!others_read && sr->passive && !sr->awaits_turn)
+		wait_for_turn(sr);
+	wait_s = (double)(sr->turn_us - now_us) / 1e6;
+	sr->awaits_turn = !others_read && sr->passive && wait_s > 0;
+	sr->passive = others_read || sr->awaits_turn;
+	if (!others_read && wait_s <= 0)
+		start_read(sr);
+	else if (others_read || wait_s > PASSIVE_CHECK_S)
+		set_timer(sr, PASSIVE_CHECK_S);
+	else
+		set_timer(sr, wait_s);
+}
+
 static void on_timer(struct ev_loop *loop, ev_timer *w, int events)
 {
 	struct store_reader *sr = w->data;
@@ -553,6 +628,7 @@
 	if (sr->exchange.conn) {
 		h1_exchange_cancel(&sr->exchange);
 		sr->reissued = false;
+		sr->timed_out = true;
 		read_failed(sr, "timed out");
 		return;
 	}
@@ -560,11 +636,7 @@
 	if (sr->in_snapshot && !sr->after_key[0] &&
 	    sr->g->records[sr->topic].next_offset)
 		sr->in_snapshot = false;
-	sr->passive = !sr->failures && may_be_passive(sr);
-	if (sr->passive && !sr->poll_now)
-		set_timer(sr, PASSIVE_CHECK_S);
-	else
-		start_read(sr);
+	schedule(sr);
 }
 
 static void on_register_end(void *ctx, enum h1_outcome outcome,
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -448,6 +448,36 @@
 test_all_hosts_start_with_a_large_configuration.hosts = 26
 
 
+async def test_few_hosts_try_a_store_that_is_down(d):
+    """Guards against hosts that all ask a store in trouble, again and again: two of
+    each domain, and of the others as many in turn, are enough."""
+    await start_small(d)
+    await asyncio.sleep(5)  # until most hosts leave the reading to others
+    for s in d.host_stores:
+        s.mode = "refuse"
+        for w in list(s.writers):
+            w.transport.abort()
+    before = sum(s.calls for s in d.host_stores)
+    await asyncio.sleep(OUTAGE_S)
+    calls = sum(s.calls for s in d.host_stores) - before
+    # 4 of each of two domains, three streams, a call a second each, and some
+    # more at first.
+    assert calls <= 4 * 2 * 3 * (OUTAGE_S + 3), calls
+    for s in d.host_stores:
+        s.mode = "ok"
+    d.publish_config()
+    for _ in range(IN_FORCE_S * 10):
+        await asyncio.sleep(0.1)
+        n = hosts_that_logged(d, "config_in_force", f"version={d.version} ")
+        if n == len(d.hosts):
+            break
+    assert n == len(d.hosts), f"in force at {n} hosts"
+
+
+OUTAGE_S = 6
+test_few_hosts_try_a_store_that_is_down.hosts = 26
+
+
 async def test_ignores_an_older_configuration(d):
     await start_small(d)
     d.routes.append(d.route("added", "idempotent", "plain", 1))
