--- a/cmd/figbend/gateway/pools.c
+++ b/cmd/figbend/gateway/pools.c
@@ -42,29 +42,12 @@
 #define STEP_RESPONSE_MAX_BYTES 16384
 /* Longest comments before the first event of a stream. */
 #define COMMENTS_MAX_BYTES 65536
-/* Engines allocate memory in blocks, and a stream may end inside one. */
-#define BLOCK_TOKENS 16
-/* Share of a request's expected output that is counted as used memory. Streams
- * at an endpoint are at different positions, so they do not need the memory of
- * their whole output at once; a larger share would leave memory idle. */
-#define COUNTED_OUTPUT_SHARE 0.45
 /* A stream that outgrows its counted memory is counted this far ahead of its
  * output, which is about half a second of decoding. */
 #define GROWTH_TOKENS 64
-/* A reservation also covers a share of the expected output, as an allowance for
- * the growth of the streams already at the endpoint. Reports of other hosts
- * account for that growth while they are recent, so the share rises linearly
- * with the heartbeat interval, from the fresh to the stale value. */
-#define FRESH_INTERVAL_S 0.2
-#define FRESH_OUTPUT_SHARE 0.35
-#define STALE_INTERVAL_S 0.6
-#define STALE_OUTPUT_SHARE 1.0
-/* Half of the outputs are longer than the caller's estimate. */
-#define EXPECTED_OUTPUT_FACTOR 1.3
 /* The shared parts of a prompt as text: 16 digits and a separator each. */
 #define PARTS_TEXT_BYTES (CALL_PARTS_MAX * 17 + 1)
 
-static double reserved_output_share(const struct gateway *g);
 static void reservation_denied(struct req *r, enum fleet_outcome outcome,
 			       const char *reason);
 static void prefill_failed(struct req *r, enum fleet_outcome outcome,
@@ -73,40 +56,6 @@
 static void start_prefill(struct req *r);
 static void start_decode(struct req *r);
 
-/* Returns the expected output in tokens, at most the caller's limit. */
-static double expected_output(const struct call_prompt *p)
-{
-	double expected = p->output_expected_tokens * EXPECTED_OUTPUT_FACTOR;
-
-	if (expected > 0 && expected < p->output_max_tokens)
-		return expected;
-	return p->output_max_tokens;
-}
-
-/* A running stream has half of its output in memory on average. */
-double pools_estimate_work(const struct req *r)
-{
-	double out = expected_output(&r->call.prompt);
-
-	return (r->call.prompt.prompt_tokens + out / 2) * out;
-}
-
-/*
- * Returns the KV memory, in tokens, for the prompt and a share of the expected
- * output: the next larger multiple of BLOCK_TOKENS, at most the memory of one
- * endpoint.
- */
-static uint32_t kv_demand_tokens(const struct req *r, double output_share)
-{
-	const struct call_prompt *p = &r->call.prompt;
-	uint32_t capacity = r->service->engine.kv_capacity_tokens;
-	uint32_t n;
-
-	n = p->prompt_tokens + (uint32_t)(expected_output(p) * output_share);
-	n = n / BLOCK_TOKENS * BLOCK_TOKENS + BLOCK_TOKENS;
-	return capacity && n > capacity ? capacity : n;
-}
-
 static void set_target(const struct fleet_endpoint *e, struct adapter_target *t)
 {
 	t->addr = e->entry.addr_text;
@@ -269,9 +218,9 @@
 	uint32_t ttl_ms = r->service->engine.reservation_max_ms;
 
 	set_target(r->endpoint, &t);
-	adapter_write_reserve(
-		&request, &t, kv_demand_tokens(r, reserved_output_share(r->g)),
-		ttl_ms < RESERVATION_TTL_MS ? ttl_ms : RESERVATION_TTL_MS);
+	adapter_write_reserve(&request, &t, pools_reserved_tokens(r),
+			      ttl_ms < RESERVATION_TTL_MS ? ttl_ms
+							  : RESERVATION_TTL_MS);
 	r->step = REQ_RESERVING;
 	r->sent_us = gateway_now_us(r->g);
 	if (h1_exchange_start(&r->g->endpoints, &r->exchange,
@@ -687,40 +636,33 @@
 	       r->route->target_latency_ms * 1000LL;
 }
 
-/* Returns the share of the expected output that a reservation covers. */
-static double reserved_output_share(const struct gateway *g)
-{
-	double staleness = (heartbeat_interval_s(g) - FRESH_INTERVAL_S) /
-			   (STALE_INTERVAL_S - FRESH_INTERVAL_S);
-
-	if (staleness < 0)
-		staleness = 0;
-	if (staleness > 1)
-		staleness = 1;
-	return FRESH_OUTPUT_SHARE +
-	       (STALE_OUTPUT_SHARE - FRESH_OUTPUT_SHARE) * staleness;
-}
-
-void pools_advance(struct req *r)
+/* Fills the query for a decode endpoint. */
+static void fill_query(struct req *r, struct fleet_query *query)
 {
-	struct gateway *g = r->g;
-	struct fleet_query query = {
+	*query = (struct fleet_query){
 		.service = r->service->name,
 		.stage = FLEET_DECODE,
-		.kv_tokens = kv_demand_tokens(r, COUNTED_OUTPUT_SHARE),
+		.kv_tokens = pools_counted_tokens(r),
 		.kv_capacity_tokens = r->service->engine.kv_capacity_tokens,
 		.cold_requests_per_s = r->service->cold_requests_per_s,
 		.n_excluded = r->n_excluded,
 	};
+	if (pools_is_late(r, gateway_now_us(r->g)))
+		query->headroom_tokens = (uint32_t)(LATE_HEADROOM_SHARE *
+						    query->kv_capacity_tokens);
+	memcpy(query->excluded, r->excluded, sizeof(query->excluded));
+	heartbeat_update_loads(r->g);
+}
+
+void pools_advance(struct req *r)
+{
+	struct gateway *g = r->g;
 	int64_t now_us = gateway_now_us(g), may_wait_us;
+	struct fleet_query query;
 	enum fleet_result result;
 	struct fleet_endpoint *e;
 
-	if (pools_is_late(r, now_us))
-		query.headroom_tokens = (uint32_t)(LATE_HEADROOM_SHARE *
-						   query.kv_capacity_tokens);
-	memcpy(query.excluded, r->excluded, sizeof(query.excluded));
-	heartbeat_update_loads(g);
+	fill_query(r, &query);
 	e = fleet_choose(&g->fleet, &query, now_us, &result);
 	if (!e) {
 		may_wait_us = max_wait_us(r) - (now_us - r->received_us);
--- a/cmd/figbend/gateway/req.h
+++ b/cmd/figbend/gateway/req.h
@@ -204,8 +204,6 @@
 
 /* Chooses a decode endpoint, queues the request or refuses it. May free r. */
 void pools_advance(struct req *r);
-/* Returns the estimated work: KV tokens in use times output tokens. */
-double pools_estimate_work(const struct req *r);
 /* Returns true if the first event can no longer meet the route's target. */
 bool pools_is_late(const struct req *r, int64_t now_us);
 /* Handles the step timer. May free r. */
@@ -213,4 +211,13 @@
 /* Releases the reservation and the prefill result at their endpoints. */
 void pools_release(struct req *r);
 
+/* pools_demand.c: what a request is expected to need of a model engine. */
+
+/* Returns the estimated work: KV tokens in use times output tokens. */
+double pools_estimate_work(const struct req *r);
+/* Returns the KV tokens to count as used by the request at its endpoint. */
+uint32_t pools_counted_tokens(const struct req *r);
+/* Returns the KV tokens to reserve for it. */
+uint32_t pools_reserved_tokens(const struct req *r);
+
 #endif
