pools: a stream stays at a silent engine unless it can go on elsewhere

Cause: after 1.3 s without an event a resumable stream was cancelled at its engine before anything said that it may go on at another one. Class of fault: giving up what one has before the replacement is certain.

Change: the time-out moves a stream only if the request may be executed again, an attempt and a retry are left, it is not blocked, and another endpoint can take it now. Otherwise the stream waits, and the same is asked every 0.1 s.

Before: three new tests fail, the stream ends after 3 or 6 of 20 events. After: they pass, with the whole stream.

--- a/cmd/figbend/gateway/pools.c
+++ b/cmd/figbend/gateway/pools.c
@@ -34,8 +34,10 @@
 /* A prefill takes 100 ms for 3,300 tokens, and queues behind earlier ones. */
 #define PREFILL_TIMEOUT_US 900000LL
 /* An endpoint that sends no event of a resumable stream for this long has timed
- * out, and the stream resumes on another endpoint. */
+ * out, and the stream resumes on another endpoint if it may. */
 #define EVENT_TIMEOUT_US 1300000LL
+/* Time between checks whether such a stream may resume elsewhere by now. */
+#define RESUME_CHECK_US 100000LL
 /* A stream is aborted once more than this much waits for its caller to read. */
 #define UNSENT_MAX_BYTES 262144
 /* Longest response to a reservation or a prefill, a short document. */
@@ -691,10 +693,37 @@
 		start_prefill(r);
 }
 
+/*
+ * Returns true if a stream whose endpoint has timed out can go on at another one.
+ * If it cannot, it stays: the endpoint may be only silent for a moment.
+ */
+static bool may_move(struct req *r)
+{
+	struct fleet_query query;
+	enum fleet_result result;
+
+	if (!req_may_execute_again(r) ||
+	    r->executions + 1 >= r->route->attempts_max ||
+	    !ratelimit_retry_available(&r->g->retry_budgets,
+				       r->service->name) ||
+	    crash_blocked_us(r->g, &r->call, r->account,
+			     &r->conn->request.body))
+		return false;
+	fill_query(r, &query);
+	if (query.n_excluded < REQ_EXCLUDED_MAX)
+		query.excluded[query.n_excluded++] = r->endpoint;
+	return fleet_choose(&r->g->fleet, &query, gateway_now_us(r->g),
+			    &result) != NULL;
+}
+
 void pools_timeout(struct req *r)
 {
 	bool sent = h1_exchange_sent(&r->exchange);
 
+	if (r->step == REQ_SENT && sent && !may_move(r)) {
+		req_set_step_timer(r, RESUME_CHECK_US);
+		return;
+	}
 	h1_exchange_cancel(&r->exchange);
 	switch (r->step) {
 	case REQ_RESERVING:
--- a/test/pools/deployment.py
+++ b/test/pools/deployment.py
@@ -23,6 +23,7 @@
         self.settings_path = os.path.join(tmp, f"{self.name}.jsonc")
         self.log_path = os.path.join(tmp, f"{self.name}.log")
         self.process = None
+        self.settings = {}
         settings = {
             "host": self.name, "domain": domain,
             "callers_addr": f"{self.ip}:{CALLERS_PORT}",
@@ -33,8 +34,13 @@
             "stop_s": 8,
             "retry_ratio": 0.2, "retry_window_s": 10, "retry_slack": 56,
             "limit_slack": 0}
+        self.change_settings(**settings)
+
+    def change_settings(self, **settings):
+        """Takes effect at the next start."""
+        self.settings.update(settings)
         with open(self.settings_path, "w") as f:
-            json.dump(settings, f)
+            json.dump(self.settings, f)
 
     async def start(self):
         out = open(self.log_path, "ab")
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -223,6 +223,44 @@
     assert len(executed) == 2, "not resumed at the other endpoint"
 
 
+async def check_silent_stream(d):
+    """A stream is whole although each of its engines is silent for 1.6 s."""
+    for e in d.endpoints:
+        if e.stage == "decode":
+            e.faults = ["silent"]
+    rid, r = await d.request("resumable", tokens=(3000, 160))
+    assert r.status == 200 and r.complete, (r.status, r.body)
+    assert r.body == expected_events(rid, 20), r.body
+    return rid
+
+
+# Guards against streams that are cut because a sound engine sends nothing for a
+# moment, and they may not move once more.
+async def test_waits_for_a_silent_engine_after_the_last_attempt(d):
+    await start_small(d)
+    rid = await check_silent_stream(d)
+    assert executions(d, rid) == 2, "did not move to the other endpoint"
+
+
+# The same if there is no endpoint to move to.
+async def test_waits_for_a_silent_engine_without_another_one(d):
+    d.publish_config()
+    await d.add_endpoint("model", "a", "decode")
+    await d.start()
+    await d.wait_ready()
+    rid = await check_silent_stream(d)
+    assert executions(d, rid) == 1
+
+
+# The same if the retry budget is used up, as it is when many engines are silent.
+async def test_waits_for_a_silent_engine_without_a_retry(d):
+    for h in d.hosts:
+        h.change_settings(retry_ratio=0, retry_slack=0)
+    await start_small(d)
+    rid = await check_silent_stream(d)
+    assert executions(d, rid) == 1
+
+
 async def test_passes_on_a_stream_of_a_comment(d):
     await start_small(d)
     for e in d.endpoints:
--- a/test/pools/standins.py
+++ b/test/pools/standins.py
@@ -227,6 +227,7 @@
     Streams only:
     "truncate_event"  closes within the fourth event, unless resumed
     "comments"        only comments after the third event, unless resumed
+    "silent"          nothing for silence_s after three events, then goes on
     "only_comment"    ends after a comment, without an event
     "until_close"     neither a length nor chunks: the connection ends it
     "until_close_truncate_event"  the same, and closes within the fourth event
@@ -246,6 +247,7 @@
         self.work_s, self.event_interval_s = work_s, event_interval_s
         self.started_ms = 1700000000000
         self.faults = []
+        self.silence_s = 1.6
         self.anonymous_refusals = False  # without an Attempt-Id
         self.holds_to_refuse = 0
         self.refusals = {}  # connection: its last refusal
@@ -505,6 +507,10 @@
                     await asyncio.sleep(0.3)
                     if disconnected.done() or writer.transport.is_closing():
                         return False
+                if fault == "silent" and i == last_event_id + 4:
+                    await asyncio.sleep(self.silence_s)
+                    if disconnected.done():
+                        return False
                 event = f"id: {i}\ndata: {rid} {i}\n\n".encode()
                 truncate = ((fault or "").endswith("truncate_event") and
                             not last_event_id and i == 4)
