--- a/cmd/figbend/gateway/crash.c
+++ b/cmd/figbend/gateway/crash.c
@@ -150,7 +150,7 @@
 /* See gateway.h. */
 void crash_tick(struct gateway *g)
 {
-	poison_set_store_lost(&g->poison, !store_reader_shows_crashes(g));
+	poison_set_store_lost(&g->poison, !store_apply_shows_crashes(g));
 	poison_set_hosts(&g->poison, namehash(g->settings->host),
 			 g->fleet.hosts);
 	judge(g);
--- a/cmd/figbend/gateway/gateway.c
+++ b/cmd/figbend/gateway/gateway.c
@@ -137,7 +137,7 @@
 	g->callers.draining = true;
 	logline(LOG_NOTICE, "stopping", "running=%u connections=%u", g->n_reqs,
 		g->callers.conns_n);
-	store_reader_unregister(g);
+	host_record_delete(g);
 }
 
 /* Settings are read at startup only. */
@@ -260,6 +260,7 @@
 				       ? s->descriptors - RESERVED_DESCRIPTORS
 				       : s->descriptors / 2;
 	store_reader_init(g);
+	host_record_init(g);
 	watch_signals(g);
 	return 0;
 }
@@ -272,6 +273,7 @@
 	h1_server_finish(&g->callers);
 	h1_server_finish(&g->readiness);
 	h1_server_finish(&g->metrics);
+	host_record_finish(g);
 	store_reader_finish(g);
 	heartbeat_finish(g);
 	h1_client_finish(&g->endpoints);
--- a/cmd/figbend/gateway/gateway.h
+++ b/cmd/figbend/gateway/gateway.h
@@ -72,7 +72,7 @@
 	uint64_t random;  /* state of gateway_random */
 
 	/* gateway.c; heartbeat.c and req.c also write callers.draining,
-	 * store_reader.c also writes limits */
+	 * store_apply.c also writes limits */
 	struct h1_server callers;
 	struct h1_server readiness;
 	struct h1_server metrics;
@@ -89,12 +89,14 @@
 	/* store_reader.c; heartbeat.c also writes records */
 	struct store_reader reader[ADAPTER_TOPICS];
 	struct records records[ADAPTER_TOPICS];
-	struct directory *directory;	      /* NULL before the first one */
+	struct directory *directory; /* NULL before the first one */
+
+	/* host_record.c */
 	struct h1_exchange register_exchange; /* writes this host's record */
 	ev_timer register_timer; /* repeats the write until it succeeds */
 	bool registered;	 /* the last write succeeded */
 
-	/* req.c, plain.c, pools.c; store_reader.c, heartbeat.c and gateway.c
+	/* req.c, plain.c, pools.c; store_apply.c, heartbeat.c and gateway.c
 	 * also write fleet */
 	struct fleet fleet;
 	struct reqs reqs;    /* all requests in progress */
@@ -104,7 +106,7 @@
 	uint64_t response_bytes; /* memory of all buffered responses */
 	ev_timer waiting_timer;
 
-	/* heartbeat.c; req.c and store_reader.c also write ratelimit */
+	/* heartbeat.c; req.c and store_apply.c also write ratelimit */
 	struct peer peer;
 	struct relay relay;
 	ev_timer heartbeat_timer;
@@ -159,19 +161,11 @@
 bool gateway_is_isolated(const struct gateway *g);
 /*
  * store_reader.c: the streams of the store. store_reader_init() starts to read
- * them, and writes this host's record, again each second until that succeeds.
+ * them.
  */
 void store_reader_init(struct gateway *g);
 /* Stops reading and frees the records and the directory. */
 void store_reader_finish(struct gateway *g);
-/*
- * Puts a record of n bytes into effect if it is newer than the one known for
- * its key; value is NULL if the key was deleted. source is for the log: where
- * the record comes from.
- */
-void store_reader_apply(struct gateway *g, enum adapter_topic t,
-			const char *key, const char *value, size_t n,
-			uint64_t offset, const char *source);
 /*
  * Compares this host's offset with that of a peer, and may read from the store
  * again at once. Returns true if the records that are missing are to be fetched
@@ -181,10 +175,31 @@
 			    uint64_t peer_offset);
 /* Reads the stream from the store at once, also if this host is passive. */
 void store_reader_poll(struct gateway *g, enum adapter_topic t);
+
+/* store_apply.c: records of the streams, put into effect. */
+/*
+ * Puts a record of n bytes into effect if it is newer than the one known for
+ * its key; value is NULL if the key was deleted. source is for the log: where
+ * the record comes from.
+ */
+void store_apply(struct gateway *g, enum adapter_topic t, const char *key,
+		 const char *value, size_t n, uint64_t offset,
+		 const char *source);
+/* A known key that is missing from the stream's snapshot was deleted. */
+void store_apply_missing(struct gateway *g, enum adapter_topic t,
+			 const char *key, uint64_t offset);
 /* Returns true if the crash of an endpoint would show in the records. */
-bool store_reader_shows_crashes(const struct gateway *g);
-/* Deletes this host's record, so that peers need no time-out to remove it. */
-void store_reader_unregister(struct gateway *g);
+bool store_apply_shows_crashes(const struct gateway *g);
+
+/*
+ * host_record.c: this host's record in the store. host_record_init() writes it,
+ * again each second until that succeeds.
+ */
+void host_record_init(struct gateway *g);
+/* Deletes the record, so that peers need no time-out to remove this host. */
+void host_record_delete(struct gateway *g);
+/* Stops writing the record. */
+void host_record_finish(struct gateway *g);
 
 /*
  * heartbeat.c: the other hosts and the messages exchanged with them.
--- a/cmd/figbend/gateway/record_fetch.c
+++ b/cmd/figbend/gateway/record_fetch.c
@@ -60,8 +60,8 @@
 		}
 		value = unpacked;
 	}
-	store_reader_apply(g, (enum adapter_topic)got->topic, r->key,
-			   r->gone ? NULL : value, n, r->offset, source);
+	store_apply(g, (enum adapter_topic)got->topic, r->key,
+		    r->gone ? NULL : value, n, r->offset, source);
 	free(unpacked);
 	return true;
 }
--- /dev/null
+++ b/cmd/figbend/gateway/store_apply.c
@@ -0,0 +1,213 @@
+#include "gateway.h"
+
+#include <string.h>
+
+#include "logline.h"
+
+/*
+ * Puts records of the store's streams into effect, whether they come from the store
+ * or from another host.
+ */
+
+/* Entries that expired while the store was unavailable are published again
+ * within about 2 s of its recovery. */
+#define RECOVERY_US 2000000LL
+/* The store shows a crash this long after it, at the latest: an entry expires
+ * after three heartbeats, of about 1.2 s each. */
+#define CRASH_SHOWN_US 5000000LL
+/* How long an endpoint stays in use after its entry expired while the store was
+ * unavailable. An endpoint that is in fact leaving serves for another 2 s; the
+ * delay of a read and the time that a request takes to arrive are subtracted
+ * from that. */
+#define EXPIRED_GRACE_US 1100000LL
+
+/* Puts a configuration in force if it is newer than the current one. */
+static void apply_directory(struct gateway *g, const char *value, size_t n,
+			    uint64_t offset, const char *source)
+{
+	char reason[ADAPTER_REASON_BYTES] = "";
+	struct directory *d = adapter_read_directory(value, n, reason);
+	uint32_t i;
+
+	if (!d) {
+		logline(LOG_ERR, "config_rejected",
+			"offset=%llu source=%s why=\"%s\"",
+			(unsigned long long)offset, source, reason);
+		return;
+	}
+	if (g->directory && d->version <= g->directory->version) {
+		logline(LOG_INFO, "config_old",
+			"version=%lld held=%lld source=%s",
+			(long long)d->version, (long long)g->directory->version,
+			source);
+		directory_unref(d);
+		return;
+	}
+	logline(LOG_NOTICE, "config_in_force",
+		"version=%lld before=%lld offset=%llu source=%s routes=%u "
+		"accounts=%u",
+		(long long)d->version,
+		g->directory ? (long long)g->directory->version : -1LL,
+		(unsigned long long)offset, source, d->n_routes, d->n_accounts);
+	directory_unref(g->directory);
+	g->directory = d;
+	g->limits.header_max_bytes = d->limits.header_max_bytes;
+	g->limits.body_max_bytes = d->limits.body_max_bytes;
+	g->limits.header_timeout_ms = d->limits.header_timeout_ms;
+	g->limits.idle_timeout_ms = d->limits.idle_timeout_ms;
+	for (i = 0; i < d->n_accounts; i++)
+		ratelimit_account_set(&g->ratelimit, d->account[i].name,
+				      d->account[i].rate_per_s,
+				      d->account[i].burst, gateway_now_us(g));
+}
+
+static void apply_operator_record(struct gateway *g, const char *key,
+				  const char *value, size_t n, uint64_t offset,
+				  const char *source)
+{
+	const char *domain = "";
+
+	switch (adapter_operator_record_kind(key, &domain)) {
+	case ADAPTER_DIRECTORY:
+		if (value)
+			apply_directory(g, value, n, offset, source);
+		return;
+	case ADAPTER_WITHDRAW:
+		logline(LOG_NOTICE, value ? "domain_out" : "domain_back",
+			"domain=%s offset=%llu source=%s", domain,
+			(unsigned long long)offset, source);
+		fleet_set_withdrawn(&g->fleet, domain, value != NULL);
+		return;
+	case ADAPTER_OTHER:
+		return;
+	}
+}
+
+/* Returns true if the store is unavailable or recovered less than after_us ago. */
+static bool store_was_unavailable(const struct gateway *g, int64_t after_us)
+{
+	const struct store_reader *sr = &g->reader[ADAPTER_ENDPOINTS];
+
+	return sr->failures ||
+	       (sr->recovered_us &&
+		gateway_now_us(g) - sr->recovered_us < after_us);
+}
+
+/* See gateway.h. */
+bool store_apply_shows_crashes(const struct gateway *g)
+{
+	return !store_was_unavailable(g, CRASH_SHOWN_US);
+}
+
+static void remove_endpoint(struct gateway *g, const char *id, uint64_t offset,
+			    const char *source)
+{
+	struct fleet_endpoint *e = fleet_find(&g->fleet, id);
+	int64_t now_us = gateway_now_us(g);
+	bool expired;
+
+	if (!e)
+		return;
+	expired = !e->entry.draining && store_was_unavailable(g, RECOVERY_US);
+	/* An endpoint drains before it stops in order: without that, the loss
+	 * of its entry counts as a crash. */
+	if (!e->entry.draining)
+		crash_confirm(g, e);
+	logline(LOG_NOTICE, expired ? "endpoint_lapsed" : "endpoint_gone",
+		"endpoint=%s offset=%llu source=%s running=%u", id,
+		(unsigned long long)offset, source, e->running);
+	fleet_remove(&g->fleet, id, offset,
+		     now_us + (expired ? EXPIRED_GRACE_US : 0), now_us);
+}
+
+static void apply_endpoint(struct gateway *g, const char *id, const char *value,
+			   size_t n, uint64_t offset, const char *source)
+{
+	char reason[ADAPTER_REASON_BYTES] = "";
+	struct fleet_entry entry;
+	struct fleet_endpoint *e = fleet_find(&g->fleet, id);
+	bool known = e != NULL, was_draining = e && e->entry.draining;
+
+	if (!value) {
+		remove_endpoint(g, id, offset, source);
+		return;
+	}
+	if (adapter_read_endpoint(id, value, n, &entry, reason) < 0) {
+		logline(LOG_WARNING, "endpoint_unreadable",
+			"endpoint=%s offset=%llu source=%s why=\"%s\"", id,
+			(unsigned long long)offset, source, reason);
+		remove_endpoint(g, id, offset, source);
+		return;
+	}
+	/* A new start time: the endpoint crashed and restarted. */
+	if (known && e->entry.started_ms != entry.started_ms)
+		crash_confirm(g, e);
+	if (!fleet_upsert(&g->fleet, &entry, offset, gateway_now_us(g)))
+		return;
+	if (!known || was_draining != entry.draining)
+		logline(LOG_NOTICE,
+			entry.draining ? "endpoint_leaves" : "endpoint",
+			"endpoint=%s service=%s domain=%s addr=%s stage=%d "
+			"cold_ms=%u offset=%llu source=%s",
+			id, entry.service, entry.domain, entry.addr_text,
+			entry.stage, entry.cold_remaining_ms,
+			(unsigned long long)offset, source);
+}
+
+/* The value of a host's record is the address for messages of other hosts. */
+static void apply_host(struct gateway *g, const char *name, const char *value,
+		       size_t n)
+{
+	char addr[POOL_SETTINGS_ADDR_BYTES];
+
+	if (!value) {
+		heartbeat_remove_peer(g, name);
+		return;
+	}
+	if (n >= sizeof(addr))
+		return;
+	memcpy(addr, value, n);
+	addr[n] = '\0';
+	heartbeat_add_peer(g, name, addr);
+}
+
+/* See gateway.h. */
+void store_apply(struct gateway *g, enum adapter_topic t, const char *key,
+		 const char *value, size_t n, uint64_t offset,
+		 const char *source)
+{
+	if (records_put(&g->records[t], key, value, n, offset) <= 0)
+		return;
+	switch (t) {
+	case ADAPTER_OPERATORS:
+		apply_operator_record(g, key, value, n, offset, source);
+		break;
+	case ADAPTER_ENDPOINTS:
+		apply_endpoint(g, key, value, n, offset, source);
+		break;
+	case ADAPTER_HOSTS:
+		apply_host(g, key, value, n);
+		break;
+	case ADAPTER_TOPICS:
+		break;
+	}
+}
+
+/* See gateway.h. */
+void store_apply_missing(struct gateway *g, enum adapter_topic t,
+			 const char *key, uint64_t offset)
+{
+	switch (t) {
+	case ADAPTER_OPERATORS:
+		apply_operator_record(g, key, NULL, 0, offset, "snapshot");
+		break;
+	case ADAPTER_ENDPOINTS:
+		remove_endpoint(g, key, offset, "snapshot");
+		break;
+	case ADAPTER_HOSTS:
+		heartbeat_remove_peer(g, key);
+		break;
+	case ADAPTER_TOPICS:
+		break;
+	}
+}
