--- a/cmd/figbend/gateway/gateway.h
+++ b/cmd/figbend/gateway/gateway.h
@@ -42,6 +42,7 @@
 	struct h1_exchange exchange; /* the read in progress */
 	struct h1_buf body;	     /* response body received so far */
 	uint16_t status;  /* HTTP status of the response; 0 before its head */
+	int64_t era;	  /* of the store, in the last response; -1 if none */
 	bool in_snapshot; /* reads pages of the snapshot, not records */
 	bool domain_page; /* reads the page with the hosts of this domain */
 	bool reissued;	  /* the read was sent again, as this host lagged */
--- a/cmd/figbend/gateway/store_reader.c
+++ b/cmd/figbend/gateway/store_reader.c
@@ -201,6 +201,11 @@
 		sr->snapshot_end = end;
 	if (more)
 		return 0;
+	logline(LOG_NOTICE, "snapshot",
+		"stream=%d era=%lld before=%llu end=%llu", sr->topic,
+		(long long)sr->era,
+		(unsigned long long)sr->g->records[sr->topic].next_offset,
+		(unsigned long long)sr->snapshot_end);
 	records_snapshot_end(&sr->g->records[sr->topic], sr->snapshot_end,
 			     on_missing_key, sr);
 	sr->in_snapshot = false;
@@ -307,8 +312,14 @@
 static enum h1_verdict on_head(void *ctx, const struct h1_head *h)
 {
 	struct store_reader *sr = ctx;
+	int64_t era = adapter_read_era(h);
 
 	sr->status = h->status;
+	if (era != sr->era)
+		logline(LOG_NOTICE, "store_era",
+			"stream=%d era=%lld before=%lld status=%u", sr->topic,
+			(long long)era, (long long)sr->era, h->status);
+	sr->era = era;
 	return H1_ACCEPT;
 }
 
@@ -496,6 +507,7 @@
 
 		sr->g = g;
 		sr->topic = (enum adapter_topic)t;
+		sr->era = -1;
 		ev_timer_init(&sr->timer, on_timer, 0., 0.);
 		sr->timer.data = sr;
 		start_snapshot(sr);
