--- a/cmd/figbend/gateway/gateway.c
+++ b/cmd/figbend/gateway/gateway.c
@@ -169,6 +169,7 @@
 	int64_t now_us = gateway_now_us(g);
 
 	fleet_expire(&g->fleet, now_us);
+	store_reader_settle(g);
 	if (g->drain.stopping)
 		check_stop(g, now_us);
 }
--- a/cmd/figbend/gateway/gateway.h
+++ b/cmd/figbend/gateway/gateway.h
@@ -51,9 +51,16 @@
 	bool poll_now;
 	bool passive; /* leaves the stream to other hosts of the domain */
 	char after_key[RECORD_KEY_BYTES]; /* last key read; "": first page */
-	uint64_t snapshot_end; /* end of the stream at the first page */
-	uint64_t from_offset;  /* where the read in progress begins */
-	ev_timer timer;	       /* starts the next read, or times one out */
+	/* The stream's end at the first page of the snapshot, and where the read
+	 * in progress begins, as positions (pkg/record). */
+	uint64_t snapshot_end;
+	uint64_t from_position;
+	int64_t present_era; /* of the stream's next position; -1 if none */
+	/* After a change of the era, when to drop the records that nobody wrote
+	 * again, and when to put those that are held into effect; 0 if done. */
+	int64_t settle_us;
+	int64_t release_us;
+	ev_timer timer; /* starts the next read, or times one out */
 	struct records_lag lag;
 	int64_t last_ok_us;   /* last successful read; 0 if none */
 	int64_t recovered_us; /* first response after failures; 0 if none */
@@ -96,6 +103,8 @@
 	struct h1_exchange register_exchange; /* writes this host's record */
 	ev_timer register_timer; /* repeats the write until it succeeds */
 	bool registered;	 /* the last write succeeded */
+	uint32_t registered_era; /* of the store at the last write */
+	uint32_t store_era;	 /* the latest one that this host knows */
 
 	/* req.c, plain.c, pools.c; store_apply.c, heartbeat.c and gateway.c
 	 * also write fleet */
@@ -173,7 +182,12 @@
  * from the peer.
  */
 bool store_reader_check_lag(struct gateway *g, enum adapter_topic t,
-			    uint64_t peer_offset);
+			    uint64_t peer_position);
+/* Records that all records before the position have been received. */
+void store_reader_advance(struct gateway *g, enum adapter_topic t,
+			  uint64_t position);
+/* Called often: does what is due some time after the store's era changed. */
+void store_reader_settle(struct gateway *g);
 /* Reads the stream from the store at once, also if this host is passive. */
 void store_reader_poll(struct gateway *g, enum adapter_topic t);
 
@@ -184,11 +198,16 @@
  * the record comes from.
  */
 void store_apply(struct gateway *g, enum adapter_topic t, const char *key,
-		 const char *value, size_t n, uint64_t offset,
+		 const char *value, size_t n, uint64_t position,
 		 const char *source);
 /* A known key that is missing from the stream's snapshot was deleted. */
 void store_apply_missing(struct gateway *g, enum adapter_topic t,
-			 const char *key, uint64_t offset);
+			 const char *key, uint64_t position);
+/* A key that the store lost was not written again, and counts as deleted. */
+void store_apply_lost(struct gateway *g, enum adapter_topic t, const char *key,
+		      uint64_t position);
+/* Puts the records that are held into effect. */
+void store_apply_held(struct gateway *g, enum adapter_topic t);
 /* Returns true if the crash of an endpoint would show in the records. */
 bool store_apply_shows_crashes(const struct gateway *g);
 
@@ -199,6 +218,8 @@
 void host_record_init(struct gateway *g);
 /* Deletes the record, so that peers need no time-out to remove this host. */
 void host_record_delete(struct gateway *g);
+/* Writes the record again if it was written in an earlier era of the store. */
+void host_record_renew(struct gateway *g, uint32_t era);
 /* Stops writing the record. */
 void host_record_finish(struct gateway *g);
 
--- a/cmd/figbend/gateway/heartbeat.c
+++ b/cmd/figbend/gateway/heartbeat.c
@@ -129,7 +129,7 @@
 	int t;
 
 	for (t = 0; t < FIG_STREAMS; t++)
-		self.next_offset[t] = g->records[t].next_offset;
+		self.next_position[t] = g->records[t].next_position;
 	TAILQ_FOREACH(e, &g->fleet.list, link)
 	{
 		if ((!e->running && !e->prefill_tokens) ||
@@ -158,8 +158,8 @@
 	s->addr = (char *)g->settings->peer_addr;
 	s->following = own_reader_state(g);
 	for (i = 0; i < FIG_TOPICS; i++)
-		s->upto[i] = g->records[i].next_offset;
-	s->hosts_upto = g->records[ADAPTER_HOSTS].next_offset;
+		s->upto[i] = g->records[i].next_position;
+	s->hosts_upto = g->records[ADAPTER_HOSTS].next_position;
 	s->uptime_ms = (uint64_t)(gateway_now_us(g) - g->relay.start_us) / 1000;
 	s->waiting = g->n_waiting;
 	s->spent.spent_val =
--- a/cmd/figbend/gateway/host_record.c
+++ b/cmd/figbend/gateway/host_record.c
@@ -8,6 +8,9 @@
 
 /* Time between two tries to write the record. */
 #define RETRY_S 1.0
+/* All hosts write their records again within this time after the store came back
+ * from a copy that may lack them. */
+#define RENEW_SPREAD_S 2.0
 
 static void on_register_end(void *ctx, enum h1_outcome outcome,
 			    const char *reason);
@@ -16,7 +19,10 @@
 {
 	struct gateway *g = ctx;
 
+	int64_t era = adapter_read_era(h);
+
 	g->registered = h->status == 200;
+	g->registered_era = era >= 0 ? (uint32_t)era : g->store_era;
 	return H1_ACCEPT;
 }
 
@@ -51,7 +57,8 @@
 	struct gateway *g = ctx;
 
 	if (outcome == H1_COMPLETE && g->registered) {
-		ev_timer_stop(g->loop, &g->register_timer);
+		if (g->registered_era >= g->store_era)
+			ev_timer_stop(g->loop, &g->register_timer);
 		return;
 	}
 	logline(LOG_WARNING, "host_record_failed", "why=\"%s\"", reason);
@@ -73,6 +80,21 @@
 	ev_timer_start(g->loop, &g->register_timer);
 }
 
+/* See gateway.h. */
+void host_record_renew(struct gateway *g, uint32_t era)
+{
+	if (era <= g->store_era)
+		return;
+	g->store_era = era;
+	if (!g->registered || g->registered_era >= era || g->drain.stopping)
+		return;
+	ev_timer_stop(g->loop, &g->register_timer);
+	ev_timer_set(&g->register_timer,
+		     RENEW_SPREAD_S * (double)gateway_random(g) / (1U << 31),
+		     RETRY_S);
+	ev_timer_start(g->loop, &g->register_timer);
+}
+
 /* See gateway.h. */
 void host_record_delete(struct gateway *g)
 {
--- a/cmd/figbend/gateway/record_fetch.c
+++ b/cmd/figbend/gateway/record_fetch.c
@@ -99,8 +99,9 @@
 		readable = apply_record(g, got, i, f->name) && readable;
 	if (got->busy)
 		follow(f, got);
-	else if (readable && got->upto > g->records[got->topic].next_offset)
-		g->records[got->topic].next_offset = got->upto;
+	else if (readable && got->upto)
+		store_reader_advance(g, (enum adapter_topic)got->topic,
+				     got->upto);
 	else if (got->topic == ADAPTER_OPERATORS && !got->upto)
 		store_reader_poll(g, ADAPTER_OPERATORS);
 	free(f);
@@ -118,7 +119,7 @@
 	f->directions = directions;
 	snprintf(f->name, sizeof(f->name), "%s", h->name);
 	call.fig_call_u.records_get.topic = topic;
-	call.fig_call_u.records_get.from = g->records[topic].next_offset;
+	call.fig_call_u.records_get.from = g->records[topic].next_position;
 	call.fig_call_u.records_get.takes_packed = true;
 	h->fetching = true;
 	if (peer_call(&g->peer, h->addr, &call, FETCH_TIMEOUT_MS, on_records,
@@ -135,7 +136,7 @@
 
 	for (t = 0; t < FIG_STREAMS && !h->fetching; t++)
 		if (store_reader_check_lag(g, (enum adapter_topic)t,
-					   h->next_offset[t]))
+					   h->next_position[t]))
 			start_fetch(g, h, (uint32_t)t, 0);
 }
 
@@ -161,7 +162,7 @@
 	bool packed;
 
 	for (i = 0; i < r->n; i++) {
-		if (r->row[i].offset < get->from)
+		if (r->row[i].position < get->from)
 			continue;
 		value_to_send(r, i, get->takes_packed, &n, &packed);
 		sum += n;
@@ -182,7 +183,7 @@
 	*unpacked_bytes = packed ? (u_int)row->value_bytes : 0;
 	out->key = strdup(row->key);
 	out->gone = !row->value;
-	out->offset = row->offset;
+	out->offset = row->position;
 	out->value.value_val = malloc(n + 1);
 	if (!out->key || !out->value.value_val)
 		return -ENOMEM;
@@ -231,10 +232,10 @@
 	bytes = bytes_to_send(r, get);
 	if (get->topic == ADAPTER_OPERATORS && bytes > most)
 		return 0;
-	if (!spread_take(&g->spread, host, r->next_offset, bytes,
+	if (!spread_take(&g->spread, host, r->next_position, bytes,
 			 gateway_now_us(g)))
 		return fill_busy(g, host, get, got);
-	got->upto = r->next_offset;
+	got->upto = r->next_position;
 	got->record.record_val =
 		calloc(r->n + 1, sizeof(*got->record.record_val));
 	got->unpacked_bytes.unpacked_bytes_val =
@@ -242,7 +243,7 @@
 	if (!got->record.record_val || !got->unpacked_bytes.unpacked_bytes_val)
 		return -ENOMEM;
 	for (i = 0; i < r->n; i++) {
-		if (r->row[i].offset < get->from)
+		if (r->row[i].position < get->from)
 			continue;
 		k = got->record.record_len++;
 		got->unpacked_bytes.unpacked_bytes_len++;
--- a/cmd/figbend/gateway/store_apply.c
+++ b/cmd/figbend/gateway/store_apply.c
@@ -23,7 +23,7 @@
 
 /* Puts a configuration in force if it is newer than the current one. */
 static void apply_directory(struct gateway *g, const char *value, size_t n,
-			    uint64_t offset, const char *source)
+			    uint64_t position, const char *source)
 {
 	char reason[ADAPTER_REASON_BYTES] = "";
 	struct directory *d = adapter_read_directory(value, n, reason);
@@ -32,7 +32,8 @@
 	if (!d) {
 		logline(LOG_ERR, "config_rejected",
 			"offset=%llu source=%s why=\"%s\"",
-			(unsigned long long)offset, source, reason);
+			(unsigned long long)record_offset(position), source,
+			reason);
 		return;
 	}
 	if (g->directory && d->version <= g->directory->version) {
@@ -48,7 +49,8 @@
 		"accounts=%u",
 		(long long)d->version,
 		g->directory ? (long long)g->directory->version : -1LL,
-		(unsigned long long)offset, source, d->n_routes, d->n_accounts);
+		(unsigned long long)record_offset(position), source,
+		d->n_routes, d->n_accounts);
 	directory_unref(g->directory);
 	g->directory = d;
 	g->limits.header_max_bytes = d->limits.header_max_bytes;
@@ -62,20 +64,20 @@
 }
 
 static void apply_operator_record(struct gateway *g, const char *key,
-				  const char *value, size_t n, uint64_t offset,
-				  const char *source)
+				  const char *value, size_t n,
+				  uint64_t position, const char *source)
 {
 	const char *domain = "";
 
 	switch (adapter_operator_record_kind(key, &domain)) {
 	case ADAPTER_DIRECTORY:
 		if (value)
-			apply_directory(g, value, n, offset, source);
+			apply_directory(g, value, n, position, source);
 		return;
 	case ADAPTER_WITHDRAW:
 		logline(LOG_NOTICE, value ? "domain_out" : "domain_back",
 			"domain=%s offset=%llu source=%s", domain,
-			(unsigned long long)offset, source);
+			(unsigned long long)record_offset(position), source);
 		fleet_set_withdrawn(&g->fleet, domain, value != NULL);
 		return;
 	case ADAPTER_OTHER:
@@ -99,8 +101,8 @@
 	return !store_was_unavailable(g, CRASH_SHOWN_US);
 }
 
-static void remove_endpoint(struct gateway *g, const char *id, uint64_t offset,
-			    const char *source)
+static void remove_endpoint(struct gateway *g, const char *id,
+			    uint64_t position, const char *source)
 {
 	struct fleet_endpoint *e = fleet_find(&g->fleet, id);
 	int64_t now_us = gateway_now_us(g);
@@ -115,13 +117,14 @@
 		crash_confirm(g, e);
 	logline(LOG_NOTICE, expired ? "endpoint_lapsed" : "endpoint_gone",
 		"endpoint=%s offset=%llu source=%s running=%u", id,
-		(unsigned long long)offset, source, e->running);
-	fleet_remove(&g->fleet, id, offset,
+		(unsigned long long)record_offset(position), source,
+		e->running);
+	fleet_remove(&g->fleet, id, position,
 		     now_us + (expired ? EXPIRED_GRACE_US : 0), now_us);
 }
 
 static void apply_endpoint(struct gateway *g, const char *id, const char *value,
-			   size_t n, uint64_t offset, const char *source)
+			   size_t n, uint64_t position, const char *source)
 {
 	char reason[ADAPTER_REASON_BYTES] = "";
 	struct fleet_entry entry;
@@ -129,20 +132,21 @@
 	bool known = e != NULL, was_draining = e && e->entry.draining;
 
 	if (!value) {
-		remove_endpoint(g, id, offset, source);
+		remove_endpoint(g, id, position, source);
 		return;
 	}
 	if (adapter_read_endpoint(id, value, n, &entry, reason) < 0) {
 		logline(LOG_WARNING, "endpoint_unreadable",
 			"endpoint=%s offset=%llu source=%s why=\"%s\"", id,
-			(unsigned long long)offset, source, reason);
-		remove_endpoint(g, id, offset, source);
+			(unsigned long long)record_offset(position), source,
+			reason);
+		remove_endpoint(g, id, position, source);
 		return;
 	}
 	/* A new start time: the endpoint crashed and restarted. */
 	if (known && e->entry.started_ms != entry.started_ms)
 		crash_confirm(g, e);
-	if (!fleet_upsert(&g->fleet, &entry, offset, gateway_now_us(g)))
+	if (!fleet_upsert(&g->fleet, &entry, position, gateway_now_us(g)))
 		return;
 	if (!known || was_draining != entry.draining)
 		logline(LOG_NOTICE,
@@ -151,7 +155,7 @@
 			"cold_ms=%u offset=%llu source=%s",
 			id, entry.service, entry.domain, entry.addr_text,
 			entry.stage, entry.cold_remaining_ms,
-			(unsigned long long)offset, source);
+			(unsigned long long)record_offset(position), source);
 }
 
 /* The value of a host's record is the address for messages of other hosts. */
@@ -171,19 +175,16 @@
 	heartbeat_add_peer(g, name, addr);
 }
 
-/* See gateway.h. */
-void store_apply(struct gateway *g, enum adapter_topic t, const char *key,
-		 const char *value, size_t n, uint64_t offset,
-		 const char *source)
+static void apply(struct gateway *g, enum adapter_topic t, const char *key,
+		  const char *value, size_t n, uint64_t position,
+		  const char *source)
 {
-	if (records_put(&g->records[t], key, value, n, offset) <= 0)
-		return;
 	switch (t) {
 	case ADAPTER_OPERATORS:
-		apply_operator_record(g, key, value, n, offset, source);
+		apply_operator_record(g, key, value, n, position, source);
 		break;
 	case ADAPTER_ENDPOINTS:
-		apply_endpoint(g, key, value, n, offset, source);
+		apply_endpoint(g, key, value, n, position, source);
 		break;
 	case ADAPTER_HOSTS:
 		apply_host(g, key, value, n);
@@ -193,16 +194,88 @@
 	}
 }
 
+/*
+ * Returns true if the record may be of the older copy from which the store came
+ * back, so that what is known of its key may be newer.
+ */
+static bool may_be_outdated(const struct gateway *g, enum adapter_topic t,
+			    const char *key, uint64_t position)
+{
+	const struct record *row = records_find(&g->records[t], key);
+
+	return row && position > row->position &&
+	       (g->reader[t].settle_us ||
+		record_era(position) > record_era(row->position));
+}
+
+/* Returns true if the configuration is older than the one in force. */
+static bool is_older_directory(const struct gateway *g, const char *key,
+			       const char *value, size_t n)
+{
+	char reason[ADAPTER_REASON_BYTES];
+	const char *domain;
+	struct directory *d;
+	bool older;
+
+	if (!value || !g->directory ||
+	    adapter_operator_record_kind(key, &domain) != ADAPTER_DIRECTORY)
+		return false;
+	d = adapter_read_directory(value, n, reason);
+	older = d && d->version < g->directory->version;
+	directory_unref(d);
+	return older;
+}
+
+/* Returns true if the entry is older than what is known of the endpoint. */
+static bool is_older_entry(const struct gateway *g, const char *id,
+			   const char *value, size_t n)
+{
+	char reason[ADAPTER_REASON_BYTES];
+	struct fleet_entry entry;
+
+	return value &&
+	       adapter_read_endpoint(id, value, n, &entry, reason) == 0 &&
+	       fleet_knows_newer(&g->fleet, &entry);
+}
+
+/* See gateway.h. */
+void store_apply(struct gateway *g, enum adapter_topic t, const char *key,
+		 const char *value, size_t n, uint64_t position,
+		 const char *source)
+{
+	bool check = may_be_outdated(g, t, key, position);
+
+	if (check && t == ADAPTER_OPERATORS &&
+	    is_older_directory(g, key, value, n)) {
+		logline(LOG_NOTICE, "record_outdated",
+			"stream=%d key=%s offset=%llu source=%s", t, key,
+			(unsigned long long)record_offset(position), source);
+		records_keep(&g->records[t], key, position);
+		return;
+	}
+	if (records_put(&g->records[t], key, value, n, position) <= 0)
+		return;
+	if (check && t == ADAPTER_ENDPOINTS &&
+	    is_older_entry(g, key, value, n)) {
+		logline(LOG_NOTICE, "record_outdated",
+			"stream=%d key=%s offset=%llu source=%s", t, key,
+			(unsigned long long)record_offset(position), source);
+		records_hold(&g->records[t], key);
+		return;
+	}
+	apply(g, t, key, value, n, position, source);
+}
+
 /* See gateway.h. */
 void store_apply_missing(struct gateway *g, enum adapter_topic t,
-			 const char *key, uint64_t offset)
+			 const char *key, uint64_t position)
 {
 	switch (t) {
 	case ADAPTER_OPERATORS:
-		apply_operator_record(g, key, NULL, 0, offset, "snapshot");
+		apply_operator_record(g, key, NULL, 0, position, "snapshot");
 		break;
 	case ADAPTER_ENDPOINTS:
-		remove_endpoint(g, key, offset, "snapshot");
+		remove_endpoint(g, key, position, "snapshot");
 		break;
 	case ADAPTER_HOSTS:
 		heartbeat_remove_peer(g, key);
@@ -211,3 +284,38 @@
 		break;
 	}
 }
+
+/* See gateway.h. */
+void store_apply_lost(struct gateway *g, enum adapter_topic t, const char *key,
+		      uint64_t position)
+{
+	struct fleet_endpoint *e;
+
+	if (t != ADAPTER_ENDPOINTS) {
+		store_apply_missing(g, t, key, position);
+		return;
+	}
+	/* No crash: the store lost the entry, whatever became of the endpoint. */
+	e = fleet_find(&g->fleet, key);
+	if (!e)
+		return;
+	logline(LOG_NOTICE, "endpoint_gone",
+		"endpoint=%s offset=%llu source=restored running=%u", key,
+		(unsigned long long)record_offset(position), e->running);
+	fleet_remove(&g->fleet, key, position, 0, gateway_now_us(g));
+}
+
+/* See gateway.h. */
+void store_apply_held(struct gateway *g, enum adapter_topic t)
+{
+	struct records *r = &g->records[t];
+	uint32_t i;
+
+	for (i = 0; i < r->n; i++) {
+		if (!r->row[i].held)
+			continue;
+		r->row[i].held = false;
+		apply(g, t, r->row[i].key, r->row[i].value,
+		      r->row[i].value_bytes, r->row[i].position, "restored");
+	}
+}
--- a/cmd/figbend/gateway/store_reader.c
+++ b/cmd/figbend/gateway/store_reader.c
@@ -64,6 +64,14 @@
 #define TRIERS 2
 /* Mean time until one of that many hosts tries it first. */
 #define FIRST_TRY_S 0.25
+/* After the store came back from an older copy, operators, endpoints and hosts write
+ * again what they wrote; what is missing after this time is taken as gone. Entries of
+ * endpoints are back within about 2 s. */
+#define SETTLE_US 2500000LL
+/* A record of the copy that is older than what is known by other means is put into
+ * effect if it still stands after this time: the store drops the entry of an endpoint
+ * that is gone after three heartbeats, of about 1.2 s each. */
+#define RELEASE_US 5000000LL
 static void start_read(struct store_reader *sr);
 
 static void set_timer(struct store_reader *sr, double after_s)
@@ -73,20 +81,101 @@
 	ev_timer_start(sr->g->loop, &sr->timer);
 }
 
+/* Returns the era of the store in which the response was given. */
+static uint32_t response_era(const struct store_reader *sr)
+{
+	return sr->era >= 0
+		       ? (uint32_t)sr->era
+		       : record_era(sr->g->records[sr->topic].next_position);
+}
+
 static void on_record(void *ctx, const char *key, const char *value, size_t n,
 		      uint64_t offset)
 {
 	struct store_reader *sr = ctx;
 
-	store_apply(sr->g, sr->topic, key, value, n, offset, "store");
+	store_apply(sr->g, sr->topic, key, value, n,
+		    record_position(response_era(sr), offset), "store");
 }
 
 static void on_missing_key(void *ctx, const char *key, const char *value,
-			   size_t n, uint64_t offset)
+			   size_t n, uint64_t position)
 {
 	struct store_reader *sr = ctx;
 
-	store_apply_missing(sr->g, sr->topic, key, offset);
+	store_apply_missing(sr->g, sr->topic, key, position);
+}
+
+/* Nobody wrote the record again after the store came back without it. */
+static void on_lost_key(void *ctx, const char *key, const char *value, size_t n,
+			uint64_t position)
+{
+	struct store_reader *sr = ctx;
+
+	store_apply_lost(sr->g, sr->topic, key, position);
+}
+
+/* Reads the stream anew: a read in progress waits for records of an earlier era. */
+static void read_anew(struct store_reader *sr)
+{
+	if (sr->in_snapshot || sr->passive)
+		return;
+	h1_exchange_cancel(&sr->exchange);
+	sr->poll_now = true;
+	set_timer(sr, 0.);
+}
+
+/* Handles that the stream's next position is in a later era than before. */
+static void enter_era(struct store_reader *sr, uint32_t era)
+{
+	struct gateway *g = sr->g;
+	int64_t now_us = gateway_now_us(g);
+	int64_t before = sr->present_era;
+	int t;
+
+	sr->present_era = era;
+	host_record_renew(g, era);
+	if (before < 0)
+		return;
+	logline(LOG_WARNING, "store_restored", "stream=%d era=%u before=%lld",
+		sr->topic, era, (long long)before);
+	sr->settle_us = now_us + SETTLE_US;
+	sr->release_us = now_us + RELEASE_US;
+	for (t = 0; t < ADAPTER_TOPICS; t++)
+		if (g->reader[t].present_era < era)
+			read_anew(&g->reader[t]);
+}
+
+/* See gateway.h. */
+void store_reader_advance(struct gateway *g, enum adapter_topic t,
+			  uint64_t position)
+{
+	struct store_reader *sr = &g->reader[t];
+
+	if (position > g->records[t].next_position)
+		g->records[t].next_position = position;
+	if ((int64_t)record_era(position) > sr->present_era)
+		enter_era(sr, record_era(position));
+}
+
+/* See gateway.h. */
+void store_reader_settle(struct gateway *g)
+{
+	int64_t now_us = gateway_now_us(g);
+	int t;
+
+	for (t = 0; t < ADAPTER_TOPICS; t++) {
+		struct store_reader *sr = &g->reader[t];
+
+		if (sr->settle_us && now_us >= sr->settle_us) {
+			sr->settle_us = 0;
+			records_settle(&g->records[t], on_lost_key, sr);
+		}
+		if (sr->release_us && now_us >= sr->release_us) {
+			sr->release_us = 0;
+			store_apply_held(g, sr->topic);
+		}
+	}
 }
 
 static void start_snapshot(struct store_reader *sr)
@@ -122,7 +211,7 @@
 /* Pause between a successful read and the next one. */
 static double read_interval_s(const struct store_reader *sr)
 {
-	bool news = sr->from_offset < sr->g->records[sr->topic].next_offset;
+	bool news = sr->from_position < sr->g->records[sr->topic].next_position;
 
 	switch (sr->topic) {
 	case ADAPTER_ENDPOINTS:
@@ -198,16 +287,15 @@
 	if (r < 0)
 		return r;
 	if (first)
-		sr->snapshot_end = end;
+		sr->snapshot_end = record_position(response_era(sr), end);
 	if (more)
 		return 0;
-	logline(LOG_NOTICE, "snapshot",
-		"stream=%d era=%lld before=%llu end=%llu", sr->topic,
-		(long long)sr->era,
-		(unsigned long long)sr->g->records[sr->topic].next_offset,
-		(unsigned long long)sr->snapshot_end);
+	logline(LOG_INFO, "snapshot", "stream=%d era=%u end=%llu", sr->topic,
+		record_era(sr->snapshot_end),
+		(unsigned long long)record_offset(sr->snapshot_end));
 	records_snapshot_end(&sr->g->records[sr->topic], sr->snapshot_end,
 			     on_missing_key, sr);
+	store_reader_advance(sr->g, sr->topic, sr->snapshot_end);
 	sr->in_snapshot = false;
 	return 0;
 }
@@ -245,19 +333,44 @@
 static int apply_records(struct store_reader *sr)
 {
 	struct records *r = &sr->g->records[sr->topic];
-	uint64_t next = sr->from_offset;
+	uint64_t next = record_offset(sr->from_position);
 	int error = adapter_read_records(h1_buf_data(&sr->body),
 					 h1_buf_len(&sr->body), on_record, sr,
-					 sr->from_offset, &next);
+					 next, &next);
 
-	if (error == 0 && next > r->next_offset) {
-		r->next_offset = next;
+	next = record_position(response_era(sr), next);
+	if (error == 0 && next > r->next_position) {
+		store_reader_advance(sr->g, sr->topic, next);
 		/* The heartbeat makes passive hosts fetch the new records. */
 		heartbeat_send_domain(sr->g);
 	}
 	return error;
 }
 
+/*
+ * Returns true if the response cannot be used because the store's era has changed.
+ * The stream is then read from a snapshot: its offsets have gone back, and a read
+ * from an offset that was given out again would skip the records before it.
+ */
+static bool era_has_changed(struct store_reader *sr)
+{
+	uint32_t era = response_era(sr);
+	uint64_t from = sr->in_snapshot ? sr->snapshot_end : sr->from_position;
+
+	if (sr->status != 200 && sr->status != 410)
+		return false;
+	if ((int64_t)era < sr->present_era) {
+		read_failed(sr, "response of an earlier era");
+		return true;
+	}
+	if (sr->domain_page || (sr->in_snapshot && !sr->after_key[0]) ||
+	    era == record_era(from))
+		return false;
+	start_snapshot(sr);
+	start_read(sr);
+	return true;
+}
+
 /* Applies a complete response and schedules the next read. */
 static void on_response(struct store_reader *sr)
 {
@@ -265,12 +378,13 @@
 	double after_s = 0;
 	int r = 0;
 
-	/* 410 Gone: the store no longer has the record at from_offset. */
+	if (era_has_changed(sr))
+		return;
+	/* 410 Gone: the store no longer has the record at from_position. */
 	if (sr->status == 410 && !sr->in_snapshot) {
 		logline(LOG_NOTICE, "store_history_gone", "stream=%d from=%llu",
 			sr->topic,
-			(unsigned long long)sr->g->records[sr->topic]
-				.next_offset);
+			(unsigned long long)record_offset(sr->from_position));
 		start_snapshot(sr);
 		start_read(sr);
 		return;
@@ -367,10 +481,11 @@
 		adapter_write_snapshot_query(&request, g->settings->store_addr,
 					     sr->topic, sr->after_key);
 	} else {
-		/* A peer's records may advance next_offset during the read. */
-		sr->from_offset = g->records[sr->topic].next_offset;
+		/* A peer's records may advance next_position during the read. */
+		sr->from_position = g->records[sr->topic].next_position;
 		adapter_write_records_query(&request, g->settings->store_addr,
-					    sr->topic, sr->from_offset,
+					    sr->topic,
+					    record_offset(sr->from_position),
 					    wait_ms);
 		timeout_s += wait_ms / 1000.;
 	}
@@ -395,7 +510,7 @@
 static bool may_be_passive(const struct store_reader *sr)
 {
 	const struct gateway *g = sr->g;
-	bool empty = !g->records[sr->topic].next_offset;
+	bool empty = !record_offset(g->records[sr->topic].next_position);
 
 	if (sr->domain_page)
 		return false;
@@ -438,6 +553,7 @@
 static void on_timer(struct ev_loop *loop, ev_timer *w, int events)
 {
 	struct store_reader *sr = w->data;
+	uint64_t next = sr->g->records[sr->topic].next_position;
 
 	if (sr->exchange.conn) {
 		h1_exchange_cancel(&sr->exchange);
@@ -447,8 +563,8 @@
 		return;
 	}
 	/* Peers may have provided what the snapshot would. */
-	if (sr->in_snapshot && !sr->after_key[0] &&
-	    sr->g->records[sr->topic].next_offset)
+	if (sr->in_snapshot && !sr->after_key[0] && record_offset(next) &&
+	    record_era(next) >= response_era(sr))
 		sr->in_snapshot = false;
 	schedule(sr);
 }
@@ -458,14 +574,14 @@
  * read in progress counts as dead: the read is canceled and sent again.
  */
 bool store_reader_check_lag(struct gateway *g, enum adapter_topic t,
-			    uint64_t peer_offset)
+			    uint64_t peer_position)
 {
 	struct store_reader *sr = &g->reader[t];
-	bool stuck = records_lag_update(&sr->lag, g->records[t].next_offset,
-					peer_offset, LAG_MAX_US,
+	bool stuck = records_lag_update(&sr->lag, g->records[t].next_position,
+					peer_position, LAG_MAX_US,
 					gateway_now_us(g));
 
-	if (peer_offset <= g->records[t].next_offset)
+	if (peer_position <= g->records[t].next_position)
 		return false;
 	if (sr->passive)
 		return true;
@@ -475,9 +591,12 @@
 	 * slow: it is not canceled. */
 	if (sr->exchange.conn && !sr->reissued && !sr->failures) {
 		logline(LOG_WARNING, "store_behind",
-			"stream=%d upto=%llu others=%llu", t,
-			(unsigned long long)g->records[t].next_offset,
-			(unsigned long long)peer_offset);
+			"stream=%d era=%u upto=%llu others_era=%u others=%llu",
+			t, record_era(g->records[t].next_position),
+			(unsigned long long)record_offset(
+				g->records[t].next_position),
+			record_era(peer_position),
+			(unsigned long long)record_offset(peer_position));
 		h1_exchange_cancel(&sr->exchange);
 		sr->reissued = true;
 		sr->poll_now = true;
@@ -507,7 +626,7 @@
 
 		sr->g = g;
 		sr->topic = (enum adapter_topic)t;
-		sr->era = -1;
+		sr->era = sr->present_era = -1;
 		ev_timer_init(&sr->timer, on_timer, 0., 0.);
 		sr->timer.data = sr;
 		start_snapshot(sr);
--- a/pkg/fleet/fleet.c
+++ b/pkg/fleet/fleet.c
@@ -182,6 +182,30 @@
 	return e;
 }
 
+/* Compares two entries of one id; less than 0 if a is older. */
+static int compare_age(const struct fleet_entry *a, const struct fleet_entry *b)
+{
+	if (a->started_ms != b->started_ms)
+		return a->started_ms < b->started_ms ? -1 : 1;
+	if (a->sequence != b->sequence)
+		return a->sequence < b->sequence ? -1 : 1;
+	return 0;
+}
+
+bool fleet_knows_newer(const struct fleet *f, const struct fleet_entry *entry)
+{
+	const struct fleet_endpoint *e;
+
+	TAILQ_FOREACH(e, &f->list, link)
+	if (strcmp(e->entry.id, entry->id) == 0)
+		return compare_age(entry, &e->entry) < 0;
+	TAILQ_FOREACH(e, &f->removed, link)
+	if (strcmp(e->entry.id, entry->id) == 0 &&
+	    compare_age(entry, &e->entry) <= 0)
+		return true;
+	return false;
+}
+
 void fleet_remove(struct fleet *f, const char *id, uint64_t offset,
 		  int64_t at_us, int64_t now_us)
 {
--- a/pkg/fleet/fleet.h
+++ b/pkg/fleet/fleet.h
@@ -39,7 +39,9 @@
 	uint32_t slots;		    /* requests that can run at once */
 	uint32_t cold_remaining_ms; /* remaining warm-up time, 0 if warm */
 	int64_t started_ms; /* start time since the Unix epoch, 0 if unknown */
-	bool draining;	    /* finishes its requests, accepts no new ones */
+	uint64_t
+		sequence; /* rises with each entry of one start; 0 if unknown */
+	bool draining;	  /* finishes its requests, accepts no new ones */
 };
 
 /* The outcome of an attempt at an endpoint. */
@@ -199,6 +201,11 @@
 struct fleet_endpoint *fleet_upsert(struct fleet *f,
 				    const struct fleet_entry *entry,
 				    uint64_t offset, int64_t now_us);
+/*
+ * Returns true if a newer entry of the endpoint was applied before, or if the
+ * endpoint was removed and the entry is not newer than its last one.
+ */
+bool fleet_knows_newer(const struct fleet *f, const struct fleet_entry *entry);
 /*
  * Removes the endpoint whose entry was deleted by the record at offset: at once
  * if at_us has passed, else by the first fleet_expire() from at_us on. Ignored
--- a/pkg/fleet/test/fleet_test.cc
+++ b/pkg/fleet/test/fleet_test.cc
@@ -612,3 +612,33 @@
 	now_us += 31 * MS;
 	EXPECT_EQ(choose(FLEET_DECODE), e);
 }
+
+/* Guards against an endpoint that is used again after it left, because the store came
+ * back from a copy that is older than its last entry. */
+TEST_F(Fleet, KnowsEntriesThatAreOlderThanTheLastOne)
+{
+	struct fleet_entry entry = upsert("a", "d1")->entry;
+
+	entry.sequence = 5;
+	fleet_upsert(&f, &entry, ++offset, now_us);
+	EXPECT_FALSE(fleet_knows_newer(&f, &entry)) << "the same entry";
+	entry.sequence = 4;
+	EXPECT_TRUE(fleet_knows_newer(&f, &entry));
+	entry.sequence = 6;
+	EXPECT_FALSE(fleet_knows_newer(&f, &entry));
+	entry.started_ms--;
+	EXPECT_TRUE(fleet_knows_newer(&f, &entry)) << "of an earlier start";
+	entry.started_ms += 2;
+	entry.sequence = 1;
+	EXPECT_FALSE(fleet_knows_newer(&f, &entry)) << "of a later start";
+
+	fleet_remove(&f, "a", ++offset, 0, now_us);
+	entry.started_ms--;
+	entry.sequence = 5;
+	EXPECT_TRUE(fleet_knows_newer(&f, &entry)) << "its last before it left";
+	entry.sequence = 6;
+	EXPECT_FALSE(fleet_knows_newer(&f, &entry));
+	snprintf(entry.id, sizeof(entry.id), "other");
+	entry.sequence = 0;
+	EXPECT_FALSE(fleet_knows_newer(&f, &entry));
+}
--- a/pkg/record/record.c
+++ b/pkg/record/record.c
@@ -68,7 +68,7 @@
 }
 
 int records_put(struct records *r, const char *key, const char *value, size_t n,
-		uint64_t offset)
+		uint64_t position)
 {
 	struct record *row = find(r, key);
 	bool known = row != NULL;
@@ -76,7 +76,7 @@
 
 	if (row)
 		row->in_snapshot = true;
-	if (row && offset <= row->offset)
+	if (row && position <= row->position)
 		return 0;
 	if (value) {
 		copy = malloc(n + 1);
@@ -93,10 +93,30 @@
 	}
 	row->in_snapshot = true;
 	set_value(row, copy, copy ? n : 0);
-	row->offset = offset;
+	row->position = position;
+	row->held = false;
 	return known || copy ? 1 : 0;
 }
 
+void records_keep(struct records *r, const char *key, uint64_t position)
+{
+	struct record *row = find(r, key);
+
+	if (!row)
+		return;
+	row->in_snapshot = true;
+	if (position > row->position)
+		row->position = position;
+}
+
+void records_hold(struct records *r, const char *key)
+{
+	struct record *row = find(r, key);
+
+	if (row)
+		row->held = true;
+}
+
 const char *records_pack(struct records *r, uint32_t i, size_t *n)
 {
 	struct record *row = &r->row[i];
@@ -159,31 +179,47 @@
 
 	for (i = 0; i < r->n; i++) {
 		row = &r->row[i];
-		if (row->in_snapshot || !row->value || row->offset >= end)
+		if (row->in_snapshot || !row->value || row->position >= end ||
+		    record_era(row->position) != record_era(end))
 			continue;
 		set_value(row, NULL, 0);
-		row->offset = end;
+		row->position = end;
 		deleted(ctx, row->key, NULL, 0, end);
 	}
-	r->next_offset = end;
+	r->next_position = end;
+}
+
+void records_settle(struct records *r, record_fn deleted, void *ctx)
+{
+	struct record *row;
+	uint32_t i;
+
+	for (i = 0; i < r->n; i++) {
+		row = &r->row[i];
+		if (!row->value ||
+		    record_era(row->position) >= record_era(r->next_position))
+			continue;
+		set_value(row, NULL, 0);
+		deleted(ctx, row->key, NULL, 0, row->position);
+	}
 }
 
 /*
  * A reader that is no further than this one does not end the lag behind the
  * others: only progress of this reader does.
  */
-bool records_lag_update(struct records_lag *l, uint64_t own_offset,
-			uint64_t peer_offset, int64_t max_lag_us,
+bool records_lag_update(struct records_lag *l, uint64_t own_position,
+			uint64_t peer_position, int64_t max_lag_us,
 			int64_t now_us)
 {
-	if (own_offset != l->own_offset)
+	if (own_position != l->own_position)
 		l->behind_since_us = 0;
-	l->own_offset = own_offset;
-	if (peer_offset > l->max_offset)
-		l->max_offset = peer_offset;
-	if (own_offset >= l->max_offset)
+	l->own_position = own_position;
+	if (peer_position > l->max_position)
+		l->max_position = peer_position;
+	if (own_position >= l->max_position)
 		l->behind_since_us = 0;
-	if (peer_offset <= own_offset)
+	if (peer_position <= own_position)
 		return false;
 	if (!l->behind_since_us)
 		l->behind_since_us = now_us;
--- a/pkg/record/record.h
+++ b/pkg/record/record.h
@@ -8,20 +8,44 @@
 /*
  * A compacted copy of a stream of the store: the newest record of each key.
  * Records may arrive repeatedly and out of order, from the store or from
- * another host; of two records of a key the one with the higher offset is
- * newer. A deleted key keeps its offset, so that an older record does not
+ * another host; of two records of a key the one with the higher position is
+ * newer. A deleted key keeps its position, so that an older record does not
  * restore it.
+ *
+ * The store may come back from an older copy. It then gives out offsets again
+ * that it gave to records which are lost, in a new era. A position is the era
+ * and the offset in it, so that positions never go back.
  */
 
 #define RECORD_KEY_BYTES 256
 #define RECORD_UNPACKED_MAX_BYTES 8388608
+#define RECORD_OFFSET_BITS 40
+#define RECORD_OFFSET_MAX ((1ULL << RECORD_OFFSET_BITS) - 1)
+
+static inline uint64_t record_position(uint32_t era, uint64_t offset)
+{
+	return (uint64_t)era << RECORD_OFFSET_BITS |
+	       (offset < RECORD_OFFSET_MAX ? offset : RECORD_OFFSET_MAX);
+}
+
+static inline uint32_t record_era(uint64_t position)
+{
+	return (uint32_t)(position >> RECORD_OFFSET_BITS);
+}
+
+static inline uint64_t record_offset(uint64_t position)
+{
+	return position & RECORD_OFFSET_MAX;
+}
 
 struct record {
 	char key[RECORD_KEY_BYTES];
 	char *value; /* owned; NULL if the key was deleted */
 	size_t value_bytes;
-	uint64_t offset;  /* position in the stream */
+	uint64_t position;
 	bool in_snapshot; /* seen in the snapshot that is being read */
+	/* Not put into effect: what is known by other means is newer. */
+	bool held;
 	/* The value compressed, once it was asked for; owned. */
 	char *packed;
 	size_t packed_bytes;
@@ -32,14 +56,14 @@
  * deleted. key and value are borrowed for the call.
  */
 typedef void (*record_fn)(void *ctx, const char *key, const char *value,
-			  size_t n, uint64_t offset);
+			  size_t n, uint64_t position);
 
 /* Zeroed memory is an empty set of records. */
 struct records {
 	struct record *row;
 	uint32_t n;
 	uint32_t capacity;
-	uint64_t next_offset; /* all records before it have been received */
+	uint64_t next_position; /* all records before it have been received */
 };
 
 /* Frees all records; r is empty afterwards. */
@@ -51,7 +75,14 @@
  * more.
  */
 int records_put(struct records *r, const char *key, const char *value, size_t n,
-		uint64_t offset);
+		uint64_t position);
+/*
+ * Moves the record of a key to a later position and keeps its value, which is
+ * newer than that of the record there.
+ */
+void records_keep(struct records *r, const char *key, uint64_t position);
+/* Marks the record of a key as held, until the next one of its key. */
+void records_hold(struct records *r, const char *key);
 /*
  * Returns the record of a key, also of a deleted one, or NULL. It is valid
  * until the next call that changes r.
@@ -72,28 +103,34 @@
 /*
  * Called before and after the records of a snapshot are passed to records_put.
  * records_snapshot_end() deletes the keys that the snapshot lacks, unless their
- * record is at or after the offset end, and calls deleted for each. next_offset
- * becomes end.
+ * record is at or after the position end or of an earlier era, and calls deleted
+ * for each. next_position becomes end.
  */
 void records_snapshot_start(struct records *r);
 void records_snapshot_end(struct records *r, uint64_t end, record_fn deleted,
 			  void *ctx);
+/*
+ * Deletes the keys whose records are of an earlier era than next_position and
+ * calls deleted for each: nobody wrote them again. The records keep their
+ * positions, so that any record of the present era is newer.
+ */
+void records_settle(struct records *r, record_fn deleted, void *ctx);
 
 /* State that shows whether this reader of a stream lags behind others. */
 struct records_lag {
-	uint64_t own_offset;	 /* next_offset of this reader, last update */
-	uint64_t max_offset;	 /* highest offset of another reader */
+	uint64_t own_position;	 /* next_position of this reader, last update */
+	uint64_t max_position;	 /* highest offset of another reader */
 	int64_t behind_since_us; /* start of the lag; 0 if there is none */
 };
 
 /*
- * Called with the next_offset of this reader and that of another one. Returns
+ * Called with the next_position of this reader and that of another one. Returns
  * true if this reader has been behind for max_lag_us without any progress, and
  * then again after each further max_lag_us. All times are in microseconds of
  * one monotonic clock.
  */
-bool records_lag_update(struct records_lag *l, uint64_t own_offset,
-			uint64_t peer_offset, int64_t max_lag_us,
+bool records_lag_update(struct records_lag *l, uint64_t own_position,
+			uint64_t peer_position, int64_t max_lag_us,
 			int64_t now_us);
 
 #endif
--- a/pkg/record/test/record_test.cc
+++ b/pkg/record/test/record_test.cc
@@ -52,7 +52,63 @@
 	records_snapshot_end(&stream.records, 5, Stream::on_deleted, &stream);
 	EXPECT_EQ(stream.deleted, std::vector<std::string>{"a"})
 		<< "\"new\" is newer than the snapshot";
-	EXPECT_EQ(stream.records.next_offset, 5u);
+	EXPECT_EQ(stream.records.next_position, 5u);
+}
+
+/* Guards against a record that is taken for an old one, since the store gave its
+ * offset out before it came back from an older copy. */
+TEST(Records, OfALaterEraAreNewerAtAnyOffset)
+{
+	Stream stream;
+
+	EXPECT_EQ(stream.put("a", "1", record_position(1, 70)), 1);
+	EXPECT_EQ(stream.put("a", "2", record_position(2, 3)), 1);
+	EXPECT_EQ(stream.put("a", "1", record_position(1, 71)), 0);
+	EXPECT_STREQ(records_find(&stream.records, "a")->value, "2");
+	EXPECT_EQ(record_era(record_position(7, 12)), 7u);
+	EXPECT_EQ(record_offset(record_position(7, 12)), 12u);
+	EXPECT_LT(record_position(7, UINT64_MAX), record_position(8, 0));
+}
+
+/* Guards against keys that are deleted because a copy lacks them, before they
+ * could be written again. */
+TEST(Records, OfAnEarlierEraStayUntilTheyAreSettled)
+{
+	Stream stream;
+
+	stream.put("lost", "1", record_position(1, 5));
+	stream.put("again", "1", record_position(1, 6));
+	stream.put("deleted", NULL, record_position(1, 7));
+	stream.put("kept", "2", record_position(1, 8));
+	records_snapshot_start(&stream.records);
+	stream.put("old", "1", record_position(2, 0));
+	records_keep(&stream.records, "kept", record_position(2, 1));
+	records_snapshot_end(&stream.records, record_position(2, 2),
+			     Stream::on_deleted, &stream);
+	EXPECT_TRUE(stream.deleted.empty());
+	EXPECT_STREQ(records_find(&stream.records, "lost")->value, "1");
+	EXPECT_EQ(stream.put("again", "2", record_position(2, 2)), 1);
+	records_settle(&stream.records, Stream::on_deleted, &stream);
+	EXPECT_EQ(stream.deleted, std::vector<std::string>{"lost"});
+	EXPECT_STREQ(records_find(&stream.records, "again")->value, "2");
+	EXPECT_STREQ(records_find(&stream.records, "kept")->value, "2");
+	EXPECT_EQ(stream.put("kept", "1", record_position(2, 1)), 0);
+	EXPECT_EQ(stream.put("lost", "2", record_position(2, 0)), 1)
+		<< "any record of the present era is newer";
+	records_settle(&stream.records, Stream::on_deleted, &stream);
+	EXPECT_EQ(stream.deleted.size(), 1u);
+}
+
+TEST(Records, AreHeldUntilTheNextOneOfTheirKey)
+{
+	Stream stream;
+
+	stream.put("a", "1", 1);
+	records_hold(&stream.records, "a");
+	EXPECT_EQ(stream.put("a", "1", 1), 0);
+	EXPECT_TRUE(records_find(&stream.records, "a")->held);
+	EXPECT_EQ(stream.put("a", "2", 2), 1);
+	EXPECT_FALSE(records_find(&stream.records, "a")->held);
 }
 
 TEST(Records, LagIsFoundWhileAnotherReaderIsAsFarBehind)
--- a/pkg/relay/messages.c
+++ b/pkg/relay/messages.c
@@ -75,10 +75,10 @@
 	count_remote(ctx, account, change);
 }
 
-static void set_offsets(struct relay_host *h, const uint64_t *next_offset,
+static void set_offsets(struct relay_host *h, const uint64_t *next_position,
 			uint32_t state, int64_t now_us)
 {
-	memcpy(h->next_offset, next_offset, sizeof(h->next_offset));
+	memcpy(h->next_position, next_position, sizeof(h->next_position));
 	h->reader_state = (enum fig_following)state;
 	h->offsets_us = now_us;
 }
@@ -152,8 +152,8 @@
 				   uint64_t boot, uint64_t counter,
 				   const struct fig_share *s, int64_t now_us)
 {
-	uint64_t next_offset[FIG_STREAMS] = {s->upto[0], s->upto[1],
-					     s->hosts_upto};
+	uint64_t next_position[FIG_STREAMS] = {s->upto[0], s->upto[1],
+					       s->hosts_upto};
 	struct relay_host *h = relay_table_host(r, name);
 	struct relay_load *load;
 
@@ -176,7 +176,7 @@
 	h->counter = counter;
 	relay_table_set_load(r, h, load, s->load.load_len, s->waiting);
 	relay_table_set_heard(r, h, now_us);
-	set_offsets(h, next_offset, s->following, now_us);
+	set_offsets(h, next_position, s->following, now_us);
 	return h;
 }
 
@@ -378,7 +378,7 @@
 	uint32_t i;
 	int error;
 
-	memcpy(rows->upto, r->self.next_offset, sizeof(rows->upto));
+	memcpy(rows->upto, r->self.next_position, sizeof(rows->upto));
 	rows->following = r->self.reader_state;
 	error = fill_spent(r, r->domain_spent, NULL, &rows->spent.spent_val,
 			   &rows->spent.spent_len);
@@ -489,7 +489,7 @@
 	const struct relay_host *oldest = TAILQ_FIRST(&r->alive);
 	uint32_t i;
 
-	memcpy(d->upto, r->self.next_offset, sizeof(d->upto));
+	memcpy(d->upto, r->self.next_position, sizeof(d->upto));
 	d->following = r->self.reader_state;
 	d->complete = relay_is_complete(r, now_us);
 	d->oldest_ms = oldest && now_us > oldest->heard_us
--- a/pkg/relay/relay.h
+++ b/pkg/relay/relay.h
@@ -102,7 +102,7 @@
 	bool is_delegate;
 	int64_t rows_us;
 	/* Streams of the store, by its last message. */
-	uint64_t next_offset[FIG_STREAMS];
+	uint64_t next_position[FIG_STREAMS];
 	enum fig_following reader_state;
 	int64_t offsets_us; /* when these were received; 0 if never */
 	bool fetching;	    /* for the caller: records are being fetched */
@@ -121,7 +121,7 @@
 	uint32_t n_loads;
 	uint32_t waiting;
 	uint64_t counter; /* of the last message sent */
-	uint64_t next_offset[FIG_STREAMS];
+	uint64_t next_position[FIG_STREAMS];
 	enum fig_following reader_state;
 };
 
--- a/pkg/spread/spread.h
+++ b/pkg/spread/spread.h
@@ -24,7 +24,7 @@
 /* A host to which records were sent. */
 struct spread_served {
 	char name[SPREAD_NAME_BYTES];
-	uint64_t upto; /* it has all records before this offset */
+	uint64_t upto; /* it has all records before this position */
 };
 
 struct spread {
@@ -39,12 +39,12 @@
 void spread_init(struct spread *s, int64_t now_us);
 /*
  * Returns true if a reply of that many bytes may be sent to the host now, and
- * counts it. The host then has all records before the offset upto.
+ * counts it. The host then has all records before the position upto.
  */
 bool spread_take(struct spread *s, const char *host, uint64_t upto,
 		 size_t bytes, int64_t now_us);
 /*
- * Returns a host that was sent records beyond the offset from, not the asking one
+ * Returns a host that was sent records beyond the position from, not the asking one
  * itself; or NULL. It is valid until the next call of spread_take().
  */
 const char *spread_instead(struct spread *s, const char *host, uint64_t from);
--- a/pkg/wire/fig_msg.x
+++ b/pkg/wire/fig_msg.x
@@ -251,7 +251,7 @@
 struct fig_share {
 	fig_name domain;
 	fig_name addr;
-	unsigned hyper upto[FIG_TOPICS]; /* records of the store that it holds */
+	unsigned hyper upto[FIG_TOPICS]; /* positions: it holds all records before */
 	unsigned int following; /* enum fig_following */
 	fig_spent spent<FIG_SPENT_MAX>;
 	fig_load load<FIG_LOADS_MAX>;
@@ -324,7 +324,7 @@
 
 const FIG_RECORDS_MAX = 8192;
 
-/* Asks for the newest records of a stream that are newer than an offset. */
+/* Asks for the newest records of a stream from a position on (pkg/record). */
 struct fig_records_get {
 	unsigned int topic;
 	unsigned hyper from;
@@ -335,7 +335,7 @@
 	string key<255>;
 	opaque value<FIG_BODY_MAX>;
 	bool gone;
-	unsigned hyper offset;
+	unsigned hyper offset; /* its position */
 };
 
 struct fig_records_got {
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -543,6 +543,154 @@
     assert (await d.request("added"))[1].status == 200
 
 
+async def start_with_eras(d):
+    d.store.era = 1
+    await start_small(d)
+
+
+def restore(d, copy):
+    """The store comes back from the copy, older than what the hosts know."""
+    d.store.restore(copy, d.host_stores)
+
+
+async def serves(d, host, route):
+    return (await d.request(route, host=host))[1].status == 200
+
+
+async def wait_until_served(d, route, timeout_s=2):
+    """Waits until all hosts serve the route, or fails."""
+    end = time.monotonic() + timeout_s
+    for host in range(len(d.hosts)):
+        while not await serves(d, host, route):
+            assert time.monotonic() < end, f"h{host + 1}: no {route}"
+            await asyncio.sleep(0.05)
+
+
+# Guards against a configuration that is never in force, since the store came back
+# from an older copy and gave its offset out before.
+async def test_a_configuration_after_a_restored_store_is_in_force(d):
+    await start_with_eras(d)
+    copy = d.store.copy()
+    for route in ("second", "third"):
+        d.routes.append(d.route(route, "idempotent", "plain", attempts=2))
+        d.publish_config()
+        await wait_until_served(d, route)
+    restore(d, copy)
+    d.publish_config(version=d.version)
+    await asyncio.sleep(0.5)
+    d.routes.append(d.route("fourth", "idempotent", "plain", attempts=2))
+    d.publish_config()
+    await wait_until_served(d, "fourth")
+    log = "".join(open(h.log_path).read() for h in d.hosts)
+    assert log.count("event=store_restored stream=0 era=2") == len(d.hosts)
+
+
+test_a_configuration_after_a_restored_store_is_in_force.hosts = 5
+test_a_configuration_after_a_restored_store_is_in_force.domains = ("a",)
+
+
+# Guards against records that are skipped: a read from an offset which the restored
+# store has given out again starts behind the first of them.
+async def test_reads_every_record_of_a_restored_store(d):
+    await start_with_eras(d)
+    copy = d.store.copy()
+    late = await d.add_endpoint("plain", "a")
+    await asyncio.sleep(0.5)
+    restore(d, copy)
+    leaving = plain_endpoints(d)[0]
+    leaving.draining = True
+    d.store.put_json("keyed.servers", leaving.name, leaving.entry())
+    d.store.put_json("keyed.servers", late.name, late.entry())
+    await asyncio.sleep(1.5)
+    n = len(leaving.received)
+    for _ in range(20):
+        assert await serves(d, 0, "idempotent")
+    assert len(leaving.received) == n, "sent to an endpoint that leaves"
+    assert late.received
+
+
+# Guards against a return to what the copy has: an endpoint that has left, a domain
+# that is in use, an older configuration.
+async def test_an_older_copy_of_the_store_undoes_nothing(d):
+    await start_with_eras(d)
+    copy = d.store.copy()
+    left, drained, kept = plain_endpoints(d) + [
+        await d.add_endpoint("plain", "a")]
+    d.store.put_json("keyed.servers", left.name, left.entry("draining",
+                                                            Sequence=5))
+    d.store.put_json("keyed.servers", drained.name,
+                     drained.entry("draining", Sequence=5))
+    d.routes.append(d.route("second", "idempotent", "plain", attempts=2))
+    d.publish_config()
+    d.store.put_json("keyed.op", "evacuate/b", {"Zone": "b"})
+    await wait_until_served(d, "second")
+    d.store.put("keyed.servers", left.name, None)
+    await asyncio.sleep(1)
+    for e in d.endpoints:
+        e.received.clear()
+    restore(d, copy)
+    start = time.monotonic()
+    while time.monotonic() - start < 4.5:
+        if time.monotonic() - start > 2 and d.store.streams["keyed.op"][-1][
+                0] == "config":
+            d.store.put_json("keyed.servers", kept.name, kept.entry())
+            d.publish_config(version=d.version)
+            d.store.put_json("keyed.op", "evacuate/b", {"Zone": "b"})
+        if time.monotonic() - start > 3.6:
+            d.store.put("keyed.servers", left.name, None)
+        assert await serves(d, 0, "second") and await serves(d, 1, "second")
+        assert not left.received, "sent to an endpoint that has left"
+        assert not drained.received, "sent to an endpoint that leaves"
+        rid, r = await d.request("stream", tokens=(300, 8))
+        assert r.status == 200
+        assert not d.endpoints[4].received, "sent to a withdrawn domain"
+        await asyncio.sleep(0.1)
+    d.store.put("keyed.op", "evacuate/b", None)
+    d.store.put_json("keyed.servers", drained.name,
+                     drained.entry("ready", Sequence=6))
+    await asyncio.sleep(1)
+    for _ in range(20):
+        assert await serves(d, 1, "idempotent")
+    assert drained.received, "not used again"
+
+
+# Guards against hosts that start after the store came back and find no other: what
+# the hosts themselves wrote is lost too.
+async def test_hosts_write_their_records_again_to_a_restored_store(d):
+    d.store.era = 1
+    copy = d.store.copy()
+    await start_small(d)
+    assert len(d.store.streams["keyed.status"]) == 2
+    restore(d, copy)
+    d.publish_config()
+    await asyncio.sleep(3.5)
+    keys = {key for key, _, _ in d.store.streams["keyed.status"]}
+    assert keys == {"a/h1", "b/h2"}, keys
+
+
+# Guards against endpoints that are used for ever, since the deletion of their entry
+# or the entry itself was lost.
+async def test_drops_endpoints_that_a_restored_store_does_not_have(d):
+    await start_with_eras(d)
+    copy = d.store.copy()
+    lost = await d.add_endpoint("plain", "a")
+    await asyncio.sleep(0.5)
+    for _ in range(20):
+        assert await serves(d, 0, "idempotent")
+    assert lost.received
+    restore(d, copy)
+    await asyncio.sleep(1)
+    n = len(lost.received)
+    for _ in range(20):
+        assert await serves(d, 0, "idempotent")
+    assert len(lost.received) > n, "its entry may be written again"
+    await asyncio.sleep(3)
+    n = len(lost.received)
+    for _ in range(20):
+        assert await serves(d, 0, "idempotent")
+    assert len(lost.received) == n, "its entry was not written again"
+
+
 async def test_serves_while_the_store_is_down(d):
     await start_small(d)
     for s in d.host_stores:
--- a/test/pools/standins.py
+++ b/test/pools/standins.py
@@ -87,7 +87,8 @@
     one host; the ports share their streams. delay_s delays responses to reads.
     With read_bytes_per_s, all reads share that rate, one after the other, also
     those that nobody waits for any more; with 2 s of them waiting, further ones
-    get 503. Modes:
+    get 503. With an era, all responses name it, and reads from beyond the end get
+    410; restore() begins the next era. Modes:
     "ok"       serves requests
     "hang"     accepts requests and never responds
     "refuse"   responds with 503
@@ -103,10 +104,29 @@
         self.read_bytes_per_s = None  # of the root, and the next two
         self.reads_end = 0.  # when the reads that wait will have been sent
         self.bytes_read = 0
+        self.era = None  # of the root
         self.mode = "ok"
         self.delay_s = 0
         self.calls = 0
 
+    def copy(self):
+        """Returns a copy of the streams, for restore()."""
+        return {topic: list(rows) for topic, rows in self.streams.items()}
+
+    def restore(self, copy, ports):
+        """Comes back from a copy; the connections to the ports break."""
+        for topic in self.streams:
+            self.streams[topic][:] = copy.get(topic, [])
+        self.era += 1
+        for port in ports:
+            for w in list(port.writers):
+                w.transport.abort()
+
+    def response(self, status, body=b""):
+        era = self.root.era
+        return http_response(status, body,
+                             {} if era is None else {"Store-Era": str(era)})
+
     def put(self, topic, key, value):
         """Appends a record; a value of None removes the key."""
         raw = bytes([len(key)]) + key.encode() + (value or b"")
@@ -128,7 +148,7 @@
         if self.mode == "hang":
             await asyncio.sleep(3600)
         if self.mode == "refuse":
-            writer.write(http_response(503))
+            writer.write(self.response(503))
             return True
         topic = query.get("Topic", "")
         if path == "/figbend/log-newest":
@@ -143,9 +163,9 @@
             record = body[4:4 + n]
             key = record[1:1 + record[0]].decode()
             self.put(topic, key, record[1 + record[0]:] or None)
-            writer.write(http_response(200, b'{"Offset":0,"EndOffset":1}'))
+            writer.write(self.response(200, b'{"Offset":0,"EndOffset":1}'))
         else:
-            writer.write(http_response(404))
+            writer.write(self.response(404))
         if self.mode == "close":
             return False
         await writer.drain()
@@ -158,7 +178,7 @@
         if not root.read_bytes_per_s:
             return out
         if root.reads_end - now > 2:
-            return http_response(503)
+            return self.response(503)
         root.reads_end = (max(root.reads_end, now) +
                           len(out) / root.read_bytes_per_s)
         await asyncio.sleep(root.reads_end - now)
@@ -173,15 +193,16 @@
                               "Value": base64.b64encode(value).decode()}
         rows = [items[k] for k in sorted(items) if k > after_key]
         page, more = rows[:5], len(rows) > 5
-        return http_response(200, json.dumps({
+        return self.response(200, json.dumps({
             "items": page, "HasMore": more,
             "EndOffset": len(self.streams.get(topic, []))}).encode())
 
     async def read_records(self, topic, query):
         start = int(query["From"])
         first = self.first_offset.get(topic, 0)
-        if start < first:
-            return http_response(
+        if start < first or (self.root.era is not None and
+                             start > len(self.streams.get(topic, []))):
+            return self.response(
                 410, json.dumps({"FirstOffset": first}).encode())
         deadline = time.monotonic() + int(query.get("WaitMs", 0)) / 1000
         while start >= len(self.streams.get(topic, [])):
@@ -198,7 +219,7 @@
         out = struct.pack(">QQ", len(records), first)
         for _, _, raw in records[start:]:
             out += struct.pack(">I", len(raw)) + raw
-        return http_response(200, out)
+        return self.response(200, out)
 
 
 class Endpoint(Server):
