store: an odd entry of another writer keeps no host from following the list

Class of fault: one record that cannot be used stops all that come with it.

Change: an entry that cannot be read counts as deleted and is not kept; records that may not fit into a message are read from the store, as large configurations are; items of a page are skipped one by one, and a page that does not tell where to continue is an error.

Deep nesting, numbers out of range and ports out of range did no harm before either, and are in the test.

--- a/cmd/figbend/gateway/gateway.h
+++ b/cmd/figbend/gateway/gateway.h
@@ -50,7 +50,8 @@
 	/* The next read is made even by a passive reader, and does not wait. */
 	bool poll_now;
 	bool passive; /* leaves the stream to other hosts of the domain */
-	char after_key[RECORD_KEY_BYTES]; /* last key read; "": first page */
+	char after_key
+		[ADAPTER_PAGE_KEY_BYTES]; /* last key read; "": first page */
 	/* The stream's end at the first page of the snapshot, and where the read
 	 * in progress begins, as positions (pkg/record). */
 	uint64_t snapshot_end;
@@ -206,8 +207,8 @@
 /* A key that the store lost was not written again, and counts as deleted. */
 void store_apply_lost(struct gateway *g, enum adapter_topic t, const char *key,
 		      uint64_t position);
-/* Puts the records that are held into effect. */
-void store_apply_held(struct gateway *g, enum adapter_topic t);
+/* Puts the entries of endpoints that are held into effect. */
+void store_apply_held(struct gateway *g);
 /* Returns true if the crash of an endpoint would show in the records. */
 bool store_apply_shows_crashes(const struct gateway *g);
 
--- a/cmd/figbend/gateway/record_fetch.c
+++ b/cmd/figbend/gateway/record_fetch.c
@@ -22,6 +22,8 @@
  * second value applies to hosts that take no compressed records. */
 #define OPERATORS_MAX_BYTES 262144
 #define OPERATORS_UNPACKED_MAX_BYTES 32768
+/* So are other records that with their keys may not fit into a message. */
+#define OTHERS_MAX_BYTES 786432
 
 /* A call for records; the host may be removed before the response. */
 struct fetch {
@@ -102,8 +104,8 @@
 	else if (readable && got->upto)
 		store_reader_advance(g, (enum adapter_topic)got->topic,
 				     got->upto);
-	else if (got->topic == ADAPTER_OPERATORS && !got->upto)
-		store_reader_poll(g, ADAPTER_OPERATORS);
+	else if (!got->upto)
+		store_reader_poll(g, (enum adapter_topic)got->topic);
 	free(f);
 }
 
@@ -220,8 +222,7 @@
 			const struct fig_records_get *get,
 			struct fig_records_got *got)
 {
-	size_t bytes, most = get->takes_packed ? OPERATORS_MAX_BYTES
-					       : OPERATORS_UNPACKED_MAX_BYTES;
+	size_t bytes, most = OTHERS_MAX_BYTES;
 	struct records *r;
 	uint32_t i, k;
 
@@ -230,7 +231,10 @@
 	r = &g->records[get->topic];
 	got->topic = get->topic;
 	bytes = bytes_to_send(r, get);
-	if (get->topic == ADAPTER_OPERATORS && bytes > most)
+	if (get->topic == ADAPTER_OPERATORS)
+		most = get->takes_packed ? OPERATORS_MAX_BYTES
+					 : OPERATORS_UNPACKED_MAX_BYTES;
+	if (bytes > most)
 		return 0;
 	if (!spread_take(&g->spread, host, r->next_position, bytes,
 			 gateway_now_us(g)))
--- a/cmd/figbend/gateway/store_apply.c
+++ b/cmd/figbend/gateway/store_apply.c
@@ -123,38 +123,30 @@
 		     now_us + (expired ? EXPIRED_GRACE_US : 0), now_us);
 }
 
-static void apply_endpoint(struct gateway *g, const char *id, const char *value,
-			   size_t n, uint64_t position, const char *source)
+/* Puts an entry into effect; entry is NULL if it was deleted. */
+static void apply_endpoint(struct gateway *g, const char *id,
+			   const struct fleet_entry *entry, uint64_t position,
+			   const char *source)
 {
-	char reason[ADAPTER_REASON_BYTES] = "";
-	struct fleet_entry entry;
 	struct fleet_endpoint *e = fleet_find(&g->fleet, id);
 	bool known = e != NULL, was_draining = e && e->entry.draining;
 
-	if (!value) {
-		remove_endpoint(g, id, position, source);
-		return;
-	}
-	if (adapter_read_endpoint(id, value, n, &entry, reason) < 0) {
-		logline(LOG_WARNING, "endpoint_unreadable",
-			"endpoint=%s offset=%llu source=%s why=\"%s\"", id,
-			(unsigned long long)record_offset(position), source,
-			reason);
+	if (!entry) {
 		remove_endpoint(g, id, position, source);
 		return;
 	}
 	/* A new start time: the endpoint crashed and restarted. */
-	if (known && e->entry.started_ms != entry.started_ms)
+	if (known && e->entry.started_ms != entry->started_ms)
 		crash_confirm(g, e);
-	if (!fleet_upsert(&g->fleet, &entry, position, gateway_now_us(g)))
+	if (!fleet_upsert(&g->fleet, entry, position, gateway_now_us(g)))
 		return;
-	if (!known || was_draining != entry.draining)
+	if (!known || was_draining != entry->draining)
 		logline(LOG_NOTICE,
-			entry.draining ? "endpoint_leaves" : "endpoint",
+			entry->draining ? "endpoint_leaves" : "endpoint",
 			"endpoint=%s service=%s domain=%s addr=%s stage=%d "
 			"cold_ms=%u offset=%llu source=%s",
-			id, entry.service, entry.domain, entry.addr_text,
-			entry.stage, entry.cold_remaining_ms,
+			id, entry->service, entry->domain, entry->addr_text,
+			entry->stage, entry->cold_remaining_ms,
 			(unsigned long long)record_offset(position), source);
 }
 
@@ -175,25 +167,6 @@
 	heartbeat_add_peer(g, name, addr);
 }
 
-static void apply(struct gateway *g, enum adapter_topic t, const char *key,
-		  const char *value, size_t n, uint64_t position,
-		  const char *source)
-{
-	switch (t) {
-	case ADAPTER_OPERATORS:
-		apply_operator_record(g, key, value, n, position, source);
-		break;
-	case ADAPTER_ENDPOINTS:
-		apply_endpoint(g, key, value, n, position, source);
-		break;
-	case ADAPTER_HOSTS:
-		apply_host(g, key, value, n);
-		break;
-	case ADAPTER_TOPICS:
-		break;
-	}
-}
-
 /*
  * Returns true if the record may be of the older copy from which the store came
  * back, so that what is known of its key may be newer.
@@ -226,44 +199,79 @@
 	return older;
 }
 
-/* Returns true if the entry is older than what is known of the endpoint. */
-static bool is_older_entry(const struct gateway *g, const char *id,
-			   const char *value, size_t n)
+static void log_outdated(enum adapter_topic t, const char *key,
+			 uint64_t position, const char *source)
 {
-	char reason[ADAPTER_REASON_BYTES];
-	struct fleet_entry entry;
-
-	return value &&
-	       adapter_read_endpoint(id, value, n, &entry, reason) == 0 &&
-	       fleet_knows_newer(&g->fleet, &entry);
+	logline(LOG_NOTICE, "record_outdated",
+		"stream=%d key=%s offset=%llu source=%s", t, key,
+		(unsigned long long)record_offset(position), source);
 }
 
-/* See gateway.h. */
-void store_apply(struct gateway *g, enum adapter_topic t, const char *key,
-		 const char *value, size_t n, uint64_t position,
-		 const char *source)
+static void apply_operators(struct gateway *g, const char *key,
+			    const char *value, size_t n, uint64_t position,
+			    const char *source)
 {
-	bool check = may_be_outdated(g, t, key, position);
+	struct records *r = &g->records[ADAPTER_OPERATORS];
 
-	if (check && t == ADAPTER_OPERATORS &&
+	if (may_be_outdated(g, ADAPTER_OPERATORS, key, position) &&
 	    is_older_directory(g, key, value, n)) {
-		logline(LOG_NOTICE, "record_outdated",
-			"stream=%d key=%s offset=%llu source=%s", t, key,
-			(unsigned long long)record_offset(position), source);
-		records_keep(&g->records[t], key, position);
+		log_outdated(ADAPTER_OPERATORS, key, position, source);
+		records_keep(r, key, position);
 		return;
 	}
-	if (records_put(&g->records[t], key, value, n, position) <= 0)
+	if (records_put(r, key, value, n, position) > 0)
+		apply_operator_record(g, key, value, n, position, source);
+}
+
+/* An entry that cannot be read names no endpoint, and counts as deleted. */
+static void apply_endpoints(struct gateway *g, const char *key,
+			    const char *value, size_t n, uint64_t position,
+			    const char *source)
+{
+	struct records *r = &g->records[ADAPTER_ENDPOINTS];
+	const struct record *row = records_find(r, key);
+	bool check = may_be_outdated(g, ADAPTER_ENDPOINTS, key, position);
+	char reason[ADAPTER_REASON_BYTES] = "";
+	struct fleet_entry entry;
+
+	if (value && (!row || position > row->position) &&
+	    adapter_read_endpoint(key, value, n, &entry, reason) < 0) {
+		logline(LOG_WARNING, "endpoint_unreadable",
+			"endpoint=%s offset=%llu source=%s why=\"%s\"", key,
+			(unsigned long long)record_offset(position), source,
+			reason);
+		value = NULL;
+		n = 0;
+	}
+	if (records_put(r, key, value, n, position) <= 0)
 		return;
-	if (check && t == ADAPTER_ENDPOINTS &&
-	    is_older_entry(g, key, value, n)) {
-		logline(LOG_NOTICE, "record_outdated",
-			"stream=%d key=%s offset=%llu source=%s", t, key,
-			(unsigned long long)record_offset(position), source);
-		records_hold(&g->records[t], key);
+	if (check && value && fleet_knows_newer(&g->fleet, &entry)) {
+		log_outdated(ADAPTER_ENDPOINTS, key, position, source);
+		records_hold(r, key);
 		return;
 	}
-	apply(g, t, key, value, n, position, source);
+	apply_endpoint(g, key, value ? &entry : NULL, position, source);
+}
+
+/* See gateway.h. */
+void store_apply(struct gateway *g, enum adapter_topic t, const char *key,
+		 const char *value, size_t n, uint64_t position,
+		 const char *source)
+{
+	switch (t) {
+	case ADAPTER_OPERATORS:
+		apply_operators(g, key, value, n, position, source);
+		break;
+	case ADAPTER_ENDPOINTS:
+		apply_endpoints(g, key, value, n, position, source);
+		break;
+	case ADAPTER_HOSTS:
+		if (records_put(&g->records[t], key, value, n, position) > 0)
+			apply_host(g, key, value, n);
+		break;
+	case ADAPTER_TOPICS:
+		break;
+	}
 }
 
 /* See gateway.h. */
@@ -305,17 +313,24 @@
 	fleet_remove(&g->fleet, key, position, 0, gateway_now_us(g));
 }
 
-/* See gateway.h. */
-void store_apply_held(struct gateway *g, enum adapter_topic t)
+/* See gateway.h. Only entries of endpoints are held. */
+void store_apply_held(struct gateway *g)
 {
-	struct records *r = &g->records[t];
+	struct records *r = &g->records[ADAPTER_ENDPOINTS];
+	char reason[ADAPTER_REASON_BYTES];
+	struct fleet_entry entry;
 	uint32_t i;
 
 	for (i = 0; i < r->n; i++) {
-		if (!r->row[i].held)
+		struct record *row = &r->row[i];
+
+		if (!row->held)
 			continue;
-		r->row[i].held = false;
-		apply(g, t, r->row[i].key, r->row[i].value,
-		      r->row[i].value_bytes, r->row[i].position, "restored");
+		row->held = false;
+		if (adapter_read_endpoint(row->key, row->value,
+					  row->value_bytes, &entry,
+					  reason) == 0)
+			apply_endpoint(g, row->key, &entry, row->position,
+				       "restored");
 	}
 }
--- a/cmd/figbend/gateway/store_reader.c
+++ b/cmd/figbend/gateway/store_reader.c
@@ -173,7 +173,8 @@
 		}
 		if (sr->release_us && now_us >= sr->release_us) {
 			sr->release_us = 0;
-			store_apply_held(g, sr->topic);
+			if (t == ADAPTER_ENDPOINTS)
+				store_apply_held(g);
 		}
 	}
 }
@@ -317,7 +318,7 @@
  */
 static int apply_domain_page(struct store_reader *sr)
 {
-	char last_key[RECORD_KEY_BYTES];
+	char last_key[ADAPTER_PAGE_KEY_BYTES] = "";
 	uint64_t end = 0;
 	bool more = false;
 	int r = adapter_read_snapshot(h1_buf_data(&sr->body),
--- a/test/pools/deployment.py
+++ b/test/pools/deployment.py
@@ -48,6 +48,11 @@
             self.binary, "--pools", self.settings_path, stdout=out, stderr=out)
         out.close()
 
+    def log(self):
+        """Returns what the host has logged; a line may be cut in a character."""
+        with open(self.log_path, errors="replace") as f:
+            return f.read()
+
     def signal(self, number):
         if self.process and self.process.returncode is None:
             self.process.send_signal(number)
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -405,6 +405,63 @@
     assert len(d.endpoints[0].received) == before
 
 
+def odd_entries(d):
+    """Entries of another writer: their keys and values."""
+    good = d.endpoints[0].entry()
+    yield "deep", b"[" * 100000
+    yield "deep-object", b'{"Service":' * 20000
+    yield "closed", b"[" * 5000 + b"]" * 5000
+    noise = random.Random(1)
+    yield "large", json.dumps(
+        {**good, "Other": noise.randbytes(450000).hex()}).encode()
+    yield "k" * 255, noise.randbytes(900000)
+    yield "\u20ac" * 85, json.dumps(good).encode()[:-1]
+    for field, text in (("Slots", "1e400"), ("Slots", "-1"), ("Slots", "[]"),
+                        ("Slots", "9" * 400), ("born", "1e308"),
+                        ("born", "-" + "9" * 30), ("Sequence", "1e400"),
+                        ("ColdRemainingMs", "4e18"), ("Stage", "7"),
+                        ("State", '"lost"'), ("Address", '"127.0.0.1:65536"'),
+                        ("Address", '"127.0.0.1:99999999999999999999"'),
+                        ("Address", '"127.0.0.1:0"'), ("Address", '""'),
+                        ("Address", "null"), ("Service", '"' + "s" * 70000 + '"')):
+        row = json.dumps({**good, field: 0}).replace(
+            f'"{field}": 0', f'"{field}": {text}')
+        yield f"odd-{field}-{len(text)}", row.encode()
+
+
+# Guards against hosts that end, or no longer follow the list of endpoints, because
+# another writer left an odd entry in it.
+async def test_odd_entries_do_not_stop_a_host(d):
+    await start_small(d)
+    for key, value in odd_entries(d):
+        d.store.put("keyed.servers", key, value)
+    late = await d.add_endpoint("plain", "a")
+    leaving = d.endpoints[0]
+    d.store.put_json("keyed.servers", leaving.name, leaving.entry("draining"))
+    await asyncio.sleep(2)
+    for h in d.hosts:
+        assert (f"event=endpoint_leaves endpoint={leaving.name}" in h.log()
+                ), f"{h.name} does not follow the list"
+    for h in d.hosts[3:]:
+        await h.kill()
+        await h.start()
+    await d.wait_ready()
+    await asyncio.sleep(1)
+    for e in d.endpoints:
+        e.received.clear()
+    for host in range(len(d.hosts)):
+        for _ in range(10):
+            rid, r = await d.request("idempotent", host=host)
+            assert r.status == 200, r.status
+    assert not leaving.received and late.received
+    for h in d.hosts:
+        assert h.process.returncode is None, f"{h.name} has ended"
+
+
+test_odd_entries_do_not_stop_a_host.hosts = 6
+test_odd_entries_do_not_stop_a_host.domains = ("a",)
+
+
 async def test_gets_a_configuration_from_another_host(d):
     await start_small(d)
     d.host_stores[0].mode = "refuse"
@@ -581,7 +638,7 @@
     d.routes.append(d.route("fourth", "idempotent", "plain", attempts=2))
     d.publish_config()
     await wait_until_served(d, "fourth")
-    log = "".join(open(h.log_path).read() for h in d.hosts)
+    log = "".join(h.log() for h in d.hosts)
     assert log.count("event=store_restored stream=0 era=2") == len(d.hosts)
 
 
@@ -1480,7 +1537,7 @@
             await asyncio.wait_for(test(d), 60)
             return None
         except Exception as e:  # printed with the hosts' logs
-            logs = "".join(open(h.log_path).read()[-3000:] for h in d.hosts
+            logs = "".join(h.log()[-3000:] for h in d.hosts
                            if os.path.exists(h.log_path))
             return f"{type(e).__name__}: {e}\n{logs}"
         finally:
