pools: how long an engine may be silent follows what its caller waits

Callers saw streams move to another engine, with their prompts read again, because a sound engine had sent nothing for 1.3 s, although they wait 3.6 s for an event.

Cause: one constant for all routes. Change: the longest of 1.3 s and the caller's patience (2 s, four latency targets, eight gap targets) less 1.2 s, within which a stream that moves has its next event.

Before: a_stream_stays_as_long_as_its_caller_waits fails, the stream moves after 1.3 s. After: it passes; a_stream_moves_before_its_caller_leaves passes before and after.

--- a/cmd/figbend/gateway/pools.c
+++ b/cmd/figbend/gateway/pools.c
@@ -36,6 +36,8 @@
 /* An endpoint that sends no event of a resumable stream for this long has timed
  * out, and the stream resumes on another endpoint if it may. */
 #define EVENT_TIMEOUT_US 1300000LL
+/* Time in which a stream that resumes elsewhere has its next event. */
+#define RESUME_US 1200000LL
 /* Time between checks whether such a stream may resume elsewhere by now. */
 #define RESUME_CHECK_US 100000LL
 /* A stream is aborted once more than this much waits for its caller to read. */
@@ -432,6 +434,35 @@
 	r->counted_tokens = need;
 }
 
+/* Returns how long a caller waits for the next event before it leaves. */
+static int64_t patience_us(const struct req *r)
+{
+	int64_t target_us =
+		r->route->target_latency_ms * 1000LL * ABANDON_TARGETS;
+	int64_t gap_us = r->route->target_gap_ms * 1000LL * ABANDON_GAPS;
+	int64_t abandon_us = ABANDON_MIN_US;
+
+	if (target_us > abandon_us)
+		abandon_us = target_us;
+	if (gap_us > abandon_us)
+		abandon_us = gap_us;
+	return abandon_us;
+}
+
+/* Returns how long after its arrival a request may wait for capacity. */
+static int64_t max_wait_us(const struct req *r)
+{
+	return patience_us(r) - ABANDON_MARGIN_US;
+}
+
+/* Returns how long an endpoint may send no event of a resumable stream. */
+static int64_t event_timeout_us(const struct req *r)
+{
+	int64_t us = patience_us(r) - RESUME_US;
+
+	return us > EVENT_TIMEOUT_US ? us : EVENT_TIMEOUT_US;
+}
+
 /* Starts the response with the first event, or records the pause before it. */
 static void record_event(struct req *r)
 {
@@ -456,7 +487,7 @@
 	r->answer_began = true;
 	count_growth(r);
 	if (r->route->resumable)
-		req_set_step_timer(r, EVENT_TIMEOUT_US);
+		req_set_step_timer(r, event_timeout_us(r));
 }
 
 /*
@@ -612,22 +643,7 @@
 		decode_failed(r, FLEET_CONNECT_FAILED, false,
 			      "cannot open a socket");
 	else if (r->route->resumable)
-		req_set_step_timer(r, EVENT_TIMEOUT_US);
-}
-
-/* Returns how long after its arrival a request may wait for capacity. */
-static int64_t max_wait_us(const struct req *r)
-{
-	int64_t target_us =
-		r->route->target_latency_ms * 1000LL * ABANDON_TARGETS;
-	int64_t gap_us = r->route->target_gap_ms * 1000LL * ABANDON_GAPS;
-	int64_t abandon_us = ABANDON_MIN_US;
-
-	if (target_us > abandon_us)
-		abandon_us = target_us;
-	if (gap_us > abandon_us)
-		abandon_us = gap_us;
-	return abandon_us - ABANDON_MARGIN_US;
+		req_set_step_timer(r, event_timeout_us(r));
 }
 
 bool pools_is_late(const struct req *r, int64_t now_us)
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -261,6 +261,45 @@
     assert executions(d, rid) == 1
 
 
+async def check_patient_stream(d, silence_s):
+    """Checks a stream whose caller waits 3.6 s for an event; returns its id."""
+    route = d.route("patient", "streaming", "model", attempts=2,
+                    resumable=True)
+    d.routes.append({**route, "TargetLatencyMs": 900})
+    await start_small(d)
+    for e in d.endpoints:
+        e.silence_s = silence_s
+        if e.stage == "decode":
+            e.faults = ["silent"]
+            break
+    while True:
+        rid, raw = d.request_bytes("patient", tokens=(3000, 160))
+        reader, writer = await asyncio.open_connection(d.hosts[0].ip,
+                                                       CALLERS_PORT)
+        times = [time.monotonic()]
+        writer.write(raw)
+        r = await read_response(
+            reader, lambda _: times.append(time.monotonic()))
+        writer.close()
+        assert r.status == 200 and r.body == expected_events(rid, 20), r.body
+        assert max(b - a for a, b in zip(times, times[1:])) < 3.6
+        if not any(e.faults for e in d.endpoints):
+            return rid
+
+
+# Guards against prompts that are read again elsewhere because a sound engine was
+# silent for less than its caller waits.
+async def test_a_stream_stays_as_long_as_its_caller_waits(d):
+    rid = await check_patient_stream(d, silence_s=1.6)
+    assert executions(d, rid) == 1, "moved to the other endpoint"
+
+
+# Guards against callers that leave before a stream whose engine is dead moves.
+async def test_a_stream_moves_before_its_caller_leaves(d):
+    rid = await check_patient_stream(d, silence_s=30)
+    assert executions(d, rid) == 2, "did not move to the other endpoint"
+
+
 async def test_passes_on_a_stream_of_a_comment(d):
     await start_small(d)
     for e in d.endpoints:
