--- a/pkg/fleet/test/fleet_test.cc
+++ b/pkg/fleet/test/fleet_test.cc
@@ -229,11 +229,11 @@
 /*
  * Hosts that all have work for one endpoint for some seconds. Returns how many
  * requests it got in each hundredth of a second. The endpoint names a limit, or
- * warms up, at rate_per_s over all hosts.
+ * warms up, at rate_per_s over all hosts. The clocks of a third of them are ahead.
  */
 static std::vector<int> simulate_hosts(enum fleet_stage stage, int hosts,
 				       double rate_per_s, bool limited,
-				       int seconds)
+				       int seconds, int64_t ahead_us = 0)
 {
 	std::vector<struct fleet> host(hosts);
 	std::vector<int> sent(seconds * STEPS_PER_S);
@@ -244,7 +244,8 @@
 
 		fleet_init(&host[i], "d1", (uint64_t)i * 7919);
 		fleet_set_demand(&host[i], hosts, 0, 0);
-		fleet_set_rank(&host[i], i, hosts, 123456789);
+		fleet_set_rank(&host[i], i, hosts,
+			       123456789 + (i % 3 ? 0 : ahead_us));
 		snprintf(e.id, sizeof(e.id), "e");
 		snprintf(e.service, sizeof(e.service), "s");
 		e.stage = stage;
@@ -339,6 +340,52 @@
 		}
 }
 
+/* Guards against hosts that take the turns of others, as their clocks are ahead. */
+TEST_F(Fleet, HostsWhoseClocksAreAheadKeepToTheLimitOfAnEndpoint)
+{
+	for (int hosts : {24, 65, 295})
+		for (double limit : {1., 2.5, 20.})
+			for (int64_t ahead_us :
+			     {-2000 * MS, 700 * MS, 3000 * MS})
+				EXPECT_LE(
+					most_within(simulate_hosts(FLEET_DECODE,
+								   hosts, limit,
+								   true, 60,
+								   ahead_us),
+						    4),
+					4 * 1.5 * limit + 5)
+					<< hosts << " hosts, " << limit << ", "
+					<< ahead_us;
+}
+
+/* Guards against a host that wakes from a freeze and takes what an endpoint said as
+ * over, or uses up at once what it could have sent meanwhile. */
+TEST_F(Fleet, AFreezeDoesNotEndWhatAnEndpointSaid)
+{
+	struct fleet_endpoint *leaving = upsert("a", "d1"),
+			      *unwanted = upsert("b", "d1"),
+			      *limited = upsert("c", "d1");
+	int sent = 0;
+
+	fleet_record_leaving(leaving, now_us);
+	fleet_record_unwanted(&f, unwanted, 3000 * MS, now_us);
+	fleet_set_demand(&f, 2, 0, 0);
+	fleet_record_limit(&f, limited, 2000, now_us);
+	now_us += 30000 * MS;
+	fleet_expire(&f, now_us);
+	for (int i = 0; i < 20; i++) {
+		struct fleet_endpoint *e = choose();
+
+		if (!e)
+			continue;
+		EXPECT_NE(e, leaving);
+		fleet_request_start(e, 0, 0);
+		sent++;
+	}
+	EXPECT_LE(sent, 1 + 1.5 * 2 * 4 + 5);
+	EXPECT_EQ(unwanted->running, 1u) << "one request at first";
+}
+
 /* Guards against a limit that is left unused, as the hosts with little work have
  * an equal share of it. */
 TEST_F(Fleet, AHostWithMoreWaitingRequestsHasMoreOfALimit)
