--- a/pkg/record/record.c
+++ b/pkg/record/record.c
@@ -183,8 +183,9 @@
 		    record_era(row->position) != record_era(end))
 			continue;
 		set_value(row, NULL, 0);
-		row->position = end;
-		deleted(ctx, row->key, NULL, 0, end);
+		/* Not end: a record there comes after the snapshot. */
+		row->position = end - 1;
+		deleted(ctx, row->key, NULL, 0, end - 1);
 	}
 	r->next_position = end;
 }
--- a/pkg/record/test/record_test.cc
+++ b/pkg/record/test/record_test.cc
@@ -55,6 +55,21 @@
 	EXPECT_EQ(stream.records.next_position, 5u);
 }
 
+/* Guards against the first record after a snapshot that is taken for an old one,
+ * since its key was deleted at the end of the snapshot. */
+TEST(Records, AreNewAtTheEndOfTheSnapshotThatDeletedThem)
+{
+	Stream stream;
+
+	stream.put("a", "1", 0);
+	records_snapshot_start(&stream.records);
+	records_snapshot_end(&stream.records, 5, Stream::on_deleted, &stream);
+	EXPECT_EQ(stream.deleted, std::vector<std::string>{"a"});
+	EXPECT_EQ(stream.put("a", "1", 4), 0) << "before the end";
+	EXPECT_EQ(stream.put("a", "2", 5), 1);
+	EXPECT_STREQ(records_find(&stream.records, "a")->value, "2");
+}
+
 /* Guards against a record that is taken for an old one, since the store gave its
  * offset out before it came back from an older copy. */
 TEST(Records, OfALaterEraAreNewerAtAnyOffset)
