--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -1023,6 +1023,22 @@
 test_only_two_hosts_of_a_domain_poll_the_store.domains = ("a",)
 
 
+async def test_reads_each_page_of_the_hosts_once(d):
+    """Guards against a snapshot of the hosts that starts anew after each page: with
+    the records of 40 hosts that stopped, a page holds five."""
+    for n in range(40):
+        d.store.put("keyed.status", f"old{n:02}", b"127.0.0.1:9")
+    await start_small(d)
+    await asyncio.sleep(3)
+    for port in d.host_stores:
+        pages = [after for topic, after in port.pages
+                 if topic == "keyed.status"]
+        # One more begins with the domain.
+        assert len(pages) <= 10, pages
+        assert pages.count("") <= 1, pages
+        assert max(pages) >= "old34", pages
+
+
 async def test_blocks_a_request_if_the_entry_is_removed_first(d):
     """Guards against a crash that is not counted because the endpoint's entry
     was removed before its connection closed."""
--- a/test/pools/standins.py
+++ b/test/pools/standins.py
@@ -108,6 +108,7 @@
         self.mode = "ok"
         self.delay_s = 0
         self.calls = 0
+        self.pages = []  # of snapshots read: (topic, key before the page)
 
     def copy(self):
         """Returns a copy of the streams, for restore()."""
@@ -152,6 +153,7 @@
             return True
         topic = query.get("Topic", "")
         if path == "/figbend/log-newest":
+            self.pages.append((topic, query.get("after", "")))
             out = self.snapshot(topic, query.get("after", ""))
             writer.write(await self.at_read_rate(out))
         elif path == "/figbend/log-read":
