ratelimit: accounts beyond 1,024 are limited too

Callers saw: nothing refused. An account past the 1,024th of a host had no limit at all, and nothing said so. Cause: the table had 1,024 rows, ratelimit_account_set() returned -ENOSPC, which nobody looked at, and an unknown account is not limited. Change: the table grows. Reports between hosts carry 1,024 accounts; of an account beyond them each host has an equal part of rate and burst, as of one whose other hosts are silent. So the limit holds, but a caller that uses few hosts gets less than its rate. If memory is short, the log says so.

--- a/cmd/figbend/gateway/store_apply.c
+++ b/cmd/figbend/gateway/store_apply.c
@@ -58,9 +58,13 @@
 	g->limits.header_timeout_ms = d->limits.header_timeout_ms;
 	g->limits.idle_timeout_ms = d->limits.idle_timeout_ms;
 	for (i = 0; i < d->n_accounts; i++)
-		ratelimit_account_set(&g->ratelimit, d->account[i].name,
-				      d->account[i].rate_per_s,
-				      d->account[i].burst, gateway_now_us(g));
+		if (ratelimit_account_set(&g->ratelimit, d->account[i].name,
+					  d->account[i].rate_per_s,
+					  d->account[i].burst,
+					  gateway_now_us(g)) < 0)
+			logline(LOG_ERR, "account_unlimited",
+				"account=%s why=\"out of memory\"",
+				d->account[i].name);
 }
 
 static void apply_operator_record(struct gateway *g, const char *key,
--- a/pkg/ratelimit/ratelimit.c
+++ b/pkg/ratelimit/ratelimit.c
@@ -2,6 +2,7 @@
 
 #include <errno.h>
 #include <math.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "namehash.h"
@@ -21,6 +22,7 @@
 
 void ratelimit_finish(struct ratelimit *rl)
 {
+	free(rl->account);
 	memset(rl, 0, sizeof(*rl));
 }
 
@@ -44,17 +46,27 @@
 	return NULL;
 }
 
-/* Returns the part of rate and burst that silent hosts leave to the others. */
-static double living_part(const struct ratelimit *rl)
+static bool is_shared(const struct ratelimit *rl,
+		      const struct ratelimit_account *a)
 {
-	return (double)rl->living_hosts / rl->n_hosts;
+	return a - rl->account < RATELIMIT_SHARED_MAX;
+}
+
+/*
+ * Returns the part of rate and burst that silent hosts leave to the others; all
+ * other hosts are silent about an account that is not shared.
+ */
+static double living_part(const struct ratelimit *rl,
+			  const struct ratelimit_account *a)
+{
+	return (double)(is_shared(rl, a) ? rl->living_hosts : 1) / rl->n_hosts;
 }
 
 /* Returns the level of a full bucket. */
 static double full_level(const struct ratelimit *rl,
 			 const struct ratelimit_account *a)
 {
-	return a->burst * living_part(rl);
+	return a->burst * living_part(rl, a);
 }
 
 /* Refills a bucket up to now, less the part that silent hosts may use. */
@@ -62,13 +74,31 @@
 		   int64_t now_us)
 {
 	if (now_us > a->refilled_us)
-		a->level += a->rate_per_s * living_part(rl) *
+		a->level += a->rate_per_s * living_part(rl, a) *
 			    (double)(now_us - a->refilled_us) / 1e6;
 	if (a->level > full_level(rl, a))
 		a->level = full_level(rl, a);
 	a->refilled_us = now_us;
 }
 
+/* Returns a zeroed account, or NULL if memory is exhausted. */
+static struct ratelimit_account *add(struct ratelimit *rl)
+{
+	uint32_t capacity = rl->capacity ? 2 * rl->capacity : 64;
+	struct ratelimit_account *a;
+
+	if (rl->n_accounts == rl->capacity) {
+		a = realloc(rl->account, capacity * sizeof(*a));
+		if (!a)
+			return NULL;
+		rl->account = a;
+		rl->capacity = capacity;
+	}
+	a = &rl->account[rl->n_accounts++];
+	memset(a, 0, sizeof(*a));
+	return a;
+}
+
 int ratelimit_account_set(struct ratelimit *rl, const char *name,
 			  double rate_per_s, double burst, int64_t now_us)
 {
@@ -76,14 +106,12 @@
 
 	burst += rl->slack;
 	if (!a) {
-		if (rl->n_accounts == RATELIMIT_ACCOUNTS_MAX)
-			return -ENOSPC;
-		a = &rl->account[rl->n_accounts];
-		memset(a, 0, sizeof(*a));
+		a = add(rl);
+		if (!a)
+			return -ENOMEM;
 		strncpy(a->name, name, sizeof(a->name) - 1);
 		a->key = namehash(name);
 		a->refilled_us = now_us;
-		rl->n_accounts++;
 	}
 	refill(rl, a, now_us);
 	/* Without a limit the level is not kept: the bucket is new. */
@@ -146,13 +174,16 @@
 	if (a->rate_per_s > 0) {
 		refill(rl, a, now_us);
 		if (a->level < required_level(rl, a, amount, now_us)) {
-			a->refused += (int64_t)amount;
+			if (is_shared(rl, a))
+				a->refused += (int64_t)amount;
 			return false;
 		}
 		a->level -= amount;
 	}
-	a->consumed += (int64_t)amount;
-	a->used = true;
+	if (is_shared(rl, a)) {
+		a->consumed += (int64_t)amount;
+		a->used = true;
+	}
 	return true;
 }
 
@@ -164,7 +195,8 @@
 		return;
 	if (a->rate_per_s > 0)
 		a->level += amount;
-	a->consumed -= (int64_t)amount;
+	if (is_shared(rl, a))
+		a->consumed -= (int64_t)amount;
 }
 
 double ratelimit_wait_s(struct ratelimit *rl, const char *name, double amount,
@@ -178,7 +210,7 @@
 	amount = required_level(rl, a, amount, now_us);
 	if (a->level >= amount)
 		return 0;
-	return (amount - a->level) / (a->rate_per_s * living_part(rl));
+	return (amount - a->level) / (a->rate_per_s * living_part(rl, a));
 }
 
 uint64_t ratelimit_refused_key(uint64_t key)
--- a/pkg/ratelimit/ratelimit.h
+++ b/pkg/ratelimit/ratelimit.h
@@ -22,7 +22,9 @@
  */
 
 #define RATELIMIT_NAME_BYTES 64
-#define RATELIMIT_ACCOUNTS_MAX 1024
+/* Accounts whose consumption hosts report to each other, by order of addition.
+ * Each host has an equal part of rate and burst of those beyond. */
+#define RATELIMIT_SHARED_MAX 1024
 #define RATELIMIT_SERVICES_MAX 64
 
 struct ratelimit_account {
@@ -32,18 +34,20 @@
 	/* Amount in the bucket. Negative after late reports, or after an amount
 	 * above the burst. */
 	double level;
-	int64_t refilled_us;  /* when level was last brought up to date */
-	int64_t consumed;     /* by this host since its start, less refunds */
-	bool used;	      /* this host consumed some, if only for a time */
-	int64_t refused;      /* by this host since its start */
-	double others_demand; /* requested of other hosts, decaying */
+	int64_t refilled_us; /* when level was last brought up to date */
+	/* By this host since its start, of a shared account: */
+	int64_t consumed; /* less refunds */
+	bool used;	  /* this host consumed some, if only for a time */
+	int64_t refused;
+	double others_demand;	  /* requested of other hosts, decaying */
 	int64_t others_demand_us; /* when that was last brought up to date */
 	uint64_t key;		  /* namehash() of its name */
 };
 
 struct ratelimit {
-	struct ratelimit_account account[RATELIMIT_ACCOUNTS_MAX];
+	struct ratelimit_account *account; /* owned */
 	uint32_t n_accounts;
+	uint32_t capacity;     /* of account */
 	uint32_t n_hosts;      /* that share the limits, this one included */
 	uint32_t living_hosts; /* of these, the ones that are heard of */
 	double slack;	       /* added to every burst */
@@ -60,7 +64,7 @@
  * Adds an account or changes its limit. rate_per_s is 0 for an unlimited
  * account; burst is the size of the bucket without slack. A new bucket is
  * empty, since a host that starts does not know what other hosts have consumed.
- * Returns 0 or -ENOSPC.
+ * Returns 0, or -ENOMEM; the account is then unknown.
  */
 int ratelimit_account_set(struct ratelimit *rl, const char *name,
 			  double rate_per_s, double burst, int64_t now_us);
--- a/pkg/ratelimit/test/ratelimit_test.cc
+++ b/pkg/ratelimit/test/ratelimit_test.cc
@@ -109,6 +109,36 @@
 	EXPECT_TRUE(ratelimit_consume(h.rl.get(), "a", 20, 2 * S));
 }
 
+/*
+ * Guards against accounts without a limit: those beyond the ones that hosts report
+ * to each other. Each of four hosts has a quarter of their limit.
+ */
+TEST(RateLimit, LimitsAccountsBeyondThoseThatHostsShare)
+{
+	Host h[4];
+	char name[16];
+	double admitted = 0;
+
+	for (Host &x : h) {
+		for (int i = 0; i < 1300; i++) {
+			snprintf(name, sizeof(name), "a%d", i);
+			EXPECT_EQ(ratelimit_account_set(x.rl.get(), name, 10,
+							20, 0),
+				  0);
+		}
+		ratelimit_set_hosts(x.rl.get(), 4, 4, 0, 0);
+	}
+	for (int64_t now_us = 3 * S; now_us <= 13 * S; now_us += S / 10)
+		for (Host &x : h)
+			while (admitted < 1000 &&
+			       ratelimit_consume(x.rl.get(), "a1299", 1,
+						 now_us))
+				admitted++;
+	EXPECT_LE(admitted, 20 + 10 * 10);
+	EXPECT_GE(admitted, 0.9 * 10 * 10);
+	EXPECT_TRUE(ratelimit_consume(h[0].rl.get(), "a1023", 20, 13 * S));
+}
+
 TEST(RetryBudget, BoundsTheRetriesOfAllHosts)
 {
 	static struct ratelimit_retry_budgets b[8];
--- a/pkg/relay/test/network.h
+++ b/pkg/relay/test/network.h
@@ -111,8 +111,10 @@
 	}
 	void stop(Node &n)
 	{
-		if (n.up)
+		if (n.up) {
 			relay_finish(&n.relay);
+			ratelimit_finish(n.limits.get());
+		}
 		n.up = false;
 	}
 	void send(Node &from, uint32_t to, const struct fig_call *call)
