drain: requests that still run at the end of a stop are answered

Callers saw the connection close without an answer when a planned stop ended before their request: calls that the host had taken before the stop or late in it, with a deadline beyond the grace.

Cause: the process left the loop at the end of the stop and closed the connections of all requests in progress.

Evidence: pools answers_late_calls_before_it_ends and answers_running_calls_before_it_ends (endpoints that do not answer, deadline of 20 s, grace of 8 s) failed before: the status was 0, no answer. They pass now: 504, and the process has ended within the grace.

Change: from SIGTERM on no request has a deadline later than 0.4 s before the end of the grace. A stream that has begun still breaks off there.

--- a/cmd/figbend/gateway/gateway.c
+++ b/cmd/figbend/gateway/gateway.c
@@ -135,6 +135,7 @@
 		return;
 	drain_start(&g->drain, gateway_now_us(g));
 	g->callers.draining = true;
+	req_stop_all(g);
 	logline(LOG_NOTICE, "stopping", "running=%u connections=%u", g->n_reqs,
 		g->callers.conns_n);
 	host_record_delete(g);
@@ -158,7 +159,6 @@
 		ev_break(g->loop, EVBREAK_ALL);
 	if (drain_is_over(&g->drain, now_us)) {
 		logline(LOG_WARNING, "stop_cut", "running=%u", g->n_reqs);
-		req_abort_all(g);
 		ev_break(g->loop, EVBREAK_ALL);
 	}
 }
--- a/cmd/figbend/gateway/gateway.h
+++ b/cmd/figbend/gateway/gateway.h
@@ -331,8 +331,9 @@
 void req_init(struct gateway *g);
 void req_on_request(void *ctx, struct h1_conn *c);
 void req_on_disconnect(void *ctx, struct h1_conn *c);
-/* Logs the requests in progress as aborted; the process exits next. */
-void req_abort_all(struct gateway *g);
+/* Brings the deadlines of the requests in progress forward to the end of the
+ * stop that has begun. */
+void req_stop_all(struct gateway *g);
 /* Tries again to place the requests that wait for capacity. */
 void req_advance_waiting(struct gateway *g);
 
--- a/cmd/figbend/gateway/req.c
+++ b/cmd/figbend/gateway/req.c
@@ -23,6 +23,7 @@
 #define BLOCKED_REASON "blocked: the request or a part of it crashes endpoints"
 /* Other hosts accept the request at once. */
 #define RETRY_AFTER_STOPPING_S 0.05
+#define STOPPING_REASON "this host is stopping"
 
 /* Values of step= in the log. */
 static const char *const step_names[] = {
@@ -101,6 +102,12 @@
 		ev_feed_event(g->loop, &g->waiting_timer, EV_CUSTOM);
 }
 
+/* Returns true if the request ends early because this host does. */
+static bool ends_with_host(const struct req *r)
+{
+	return r->deadline_us == drain_deadline_us(&r->g->drain);
+}
+
 /* Writes the one log line that every request ends with. */
 static void log_end(const struct req *r, const char *outcome, uint16_t status,
 		    const char *reason)
@@ -161,15 +168,13 @@
 	stats_add(&r->g->stats, cause, r->call.prompt.prompt_tokens);
 }
 
-void req_abort_all(struct gateway *g)
+/* Returns why a prompt was processed in vain, cause if it was not for time. */
+static enum stats_counter waste_cause(const struct req *r,
+				      enum stats_counter cause)
 {
-	struct req *r;
-
-	TAILQ_FOREACH(r, &g->reqs, entry)
-	{
-		req_waste_prompt(r, STATS_WASTED_STOPPED);
-		log_end(r, "aborted", r->status, "this host stops");
-	}
+	if (req_remaining_us(r) > 0)
+		return cause;
+	return ends_with_host(r) ? STATS_WASTED_STOPPED : STATS_WASTED_DEADLINE;
 }
 
 /* Refunds the cost of a request that no endpoint executed. */
@@ -190,8 +195,7 @@
 		req_fail(r, 502, reason);
 		return;
 	}
-	req_waste_prompt(r, req_remaining_us(r) <= 0 ? STATS_WASTED_DEADLINE
-						     : STATS_WASTED_NO_MEMORY);
+	req_waste_prompt(r, waste_cause(r, STATS_WASTED_NO_MEMORY));
 	log_end(r, "refused", 503, reason);
 	refund(r);
 	stats_add(&r->g->stats, STATS_REFUSED_FULL, 1);
@@ -250,8 +254,7 @@
 
 void req_fail(struct req *r, uint16_t status, const char *reason)
 {
-	req_waste_prompt(r, req_remaining_us(r) <= 0 ? STATS_WASTED_DEADLINE
-						     : STATS_WASTED_ENDPOINT);
+	req_waste_prompt(r, waste_cause(r, STATS_WASTED_ENDPOINT));
 	if (r->response_started) {
 		log_end(r, "cut", r->status, reason);
 		stats_add(&r->g->stats, STATS_STREAMS_CUT, 1);
@@ -312,13 +315,25 @@
 		ev_timer_again(g->loop, &g->waiting_timer);
 }
 
+/* Ends a request whose deadline has passed. */
+static void end_at_deadline(struct req *r)
+{
+	const char *reason = "deadline exceeded";
+
+	if (ends_with_host(r)) {
+		reason = STOPPING_REASON;
+		r->retry_after_s = RETRY_AFTER_STOPPING_S;
+	}
+	if (may_have_executed(r))
+		req_fail(r, 504, reason);
+	else
+		req_refuse(r, reason);
+}
+
 void req_advance(struct req *r)
 {
 	if (req_remaining_us(r) <= 0) {
-		if (may_have_executed(r))
-			req_fail(r, 504, "deadline exceeded");
-		else
-			req_refuse(r, "deadline exceeded");
+		end_at_deadline(r);
 		return;
 	}
 	if (req_refuse_if_blocked(r))
@@ -495,12 +510,7 @@
 
 static void on_deadline(struct ev_loop *loop, ev_timer *w, int events)
 {
-	struct req *r = w->data;
-
-	if (may_have_executed(r))
-		req_fail(r, 504, "deadline exceeded");
-	else
-		req_refuse(r, "deadline exceeded");
+	end_at_deadline(w->data);
 }
 
 static void on_step_timer(struct ev_loop *loop, ev_timer *w, int events)
@@ -592,6 +602,20 @@
 	return r;
 }
 
+/* Restarts the timer of the deadline. Requests end before this host does. */
+static void start_deadline(struct req *r)
+{
+	int64_t last_us = drain_deadline_us(&r->g->drain);
+
+	if (r->deadline_us > last_us)
+		r->deadline_us = last_us;
+	ev_timer_stop(r->g->loop, &r->deadline_timer);
+	ev_timer_set(&r->deadline_timer,
+		     (double)(req_remaining_us(r) + DEADLINE_MARGIN_US) / 1e6,
+		     0.);
+	ev_timer_start(r->g->loop, &r->deadline_timer);
+}
+
 /* Sets the deadline to the caller's or the route's, whichever is earlier. */
 static void set_deadline(struct req *r)
 {
@@ -602,9 +626,15 @@
 	if (r->route->timeout_ms && r->route->timeout_ms * 1000LL < after_us)
 		after_us = r->route->timeout_ms * 1000LL;
 	r->deadline_us = r->received_us + after_us;
-	ev_timer_set(&r->deadline_timer,
-		     (double)(after_us + DEADLINE_MARGIN_US) / 1e6, 0.);
-	ev_timer_start(r->g->loop, &r->deadline_timer);
+	start_deadline(r);
+}
+
+void req_stop_all(struct gateway *g)
+{
+	struct req *r;
+
+	TAILQ_FOREACH(r, &g->reqs, entry)
+	start_deadline(r);
 }
 
 /* Returns false if this host stops before the request would end. */
@@ -655,7 +685,7 @@
 	}
 	if (!may_accept(r)) {
 		r->retry_after_s = RETRY_AFTER_STOPPING_S;
-		req_refuse(r, "this host is stopping");
+		req_refuse(r, STOPPING_REASON);
 		return;
 	}
 	ratelimit_retry_deposit(&g->retry_budgets, r->service->name,
--- a/pkg/drain/drain.c
+++ b/pkg/drain/drain.c
@@ -6,8 +6,10 @@
  * failed probes. */
 #define LISTEN_US 2900000LL
 #define LISTEN_SHARE 0.375 /* of the grace, at most */
-/* Requests that run this long before the grace is over are aborted. */
-#define MARGIN_US 300000LL
+/* Time before the end of the grace at which the process ends by itself. */
+#define END_MARGIN_US 300000LL
+/* Time before that in which the last responses reach their callers. */
+#define RESPONSE_MARGIN_US 100000LL
 /* Half of the streams are longer than the caller's hint says. */
 #define LENGTH_FACTOR 1.6
 /* Weight of the newest stream in the averages. */
@@ -29,11 +31,6 @@
 	d->start_us = now_us;
 }
 
-static int64_t left_us(const struct drain *d, int64_t now_us)
-{
-	return d->start_us + d->grace_us - MARGIN_US - now_us;
-}
-
 bool drain_is_listening(const struct drain *d, int64_t now_us)
 {
 	int64_t elapsed_us = now_us - d->start_us;
@@ -43,9 +40,17 @@
 		elapsed_us < (int64_t)(LISTEN_SHARE * (double)d->grace_us));
 }
 
+int64_t drain_deadline_us(const struct drain *d)
+{
+	if (!d->stopping)
+		return INT64_MAX;
+	return d->start_us + d->grace_us - END_MARGIN_US - RESPONSE_MARGIN_US;
+}
+
 bool drain_is_over(const struct drain *d, int64_t now_us)
 {
-	return d->stopping && left_us(d, now_us) < 0;
+	return d->stopping &&
+	       now_us > d->start_us + d->grace_us - END_MARGIN_US;
 }
 
 void drain_observe(struct drain *d, int64_t first_us, int64_t stream_us,
@@ -61,7 +66,8 @@
 bool drain_accepts_call(const struct drain *d, int64_t longest_us,
 			int64_t now_us)
 {
-	return drain_is_listening(d, now_us) || longest_us < left_us(d, now_us);
+	return drain_is_listening(d, now_us) ||
+	       longest_us < drain_deadline_us(d) - now_us;
 }
 
 bool drain_accepts_stream(const struct drain *d, double events, int64_t now_us)
@@ -71,5 +77,5 @@
 	if (!d->stopping)
 		return true;
 	return drain_is_listening(d, now_us) &&
-	       expected_us < (double)left_us(d, now_us);
+	       expected_us < (double)(drain_deadline_us(d) - now_us);
 }
--- a/pkg/drain/drain.h
+++ b/pkg/drain/drain.h
@@ -9,7 +9,8 @@
  * goes on to send requests for a moment, and callers use open connections. A
  * request is accepted only if it ends before the process does: a call ends at
  * its deadline at the latest; how long a stream will be is estimated from the
- * caller's hint and the pace of recent streams.
+ * caller's hint and the pace of recent streams. Whatever still runs shortly
+ * before the end gets its response then.
  *
  * No I/O and no clock; times are of one monotonic clock in microseconds.
  */
@@ -27,7 +28,12 @@
 void drain_start(struct drain *d, int64_t now_us);
 /* Returns true if requests still arrive in numbers, by the load balancer. */
 bool drain_is_listening(const struct drain *d, int64_t now_us);
-/* Returns true once all requests that still run are to be aborted. */
+/*
+ * Returns the time until which requests may run, so that their responses still
+ * reach the callers. INT64_MAX if the host does not stop.
+ */
+int64_t drain_deadline_us(const struct drain *d);
+/* Returns true once the process is to end, whatever still runs. */
 bool drain_is_over(const struct drain *d, int64_t now_us);
 /* Records a stream whose first event came after first_us, and its pace. */
 void drain_observe(struct drain *d, int64_t first_us, int64_t stream_us,
--- a/pkg/drain/test/drain_test.cc
+++ b/pkg/drain/test/drain_test.cc
@@ -32,6 +32,19 @@
 	EXPECT_TRUE(drain_is_over(&d, 7701 * MS));
 }
 
+/* Guards against requests that are cut without an answer at the end. */
+TEST(Drain, LeavesTimeForTheLastResponses)
+{
+	struct drain d;
+
+	drain_init(&d, 8);
+	EXPECT_EQ(drain_deadline_us(&d), INT64_MAX);
+	drain_start(&d, 1 * S);
+	EXPECT_LE(drain_deadline_us(&d), 8600 * MS);
+	EXPECT_FALSE(drain_is_over(&d, drain_deadline_us(&d) + 90 * MS));
+	EXPECT_TRUE(drain_is_over(&d, 8701 * MS));
+}
+
 /*
  * A burst of streams, the longest of which take as long as the whole grace,
  * while the host stops. Guards against accepting streams that are then aborted:
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -930,6 +930,59 @@
     await asyncio.wait([running])
 
 
+async def start_with_targets(d, target_ms):
+    """Routes of 20 s, on which a call is expected to take target_ms."""
+    for r in d.routes:
+        r["TimeoutMs"] = 20000
+        r["TargetLatencyMs"] = target_ms
+    await start_small(d)
+
+
+async def connect(d, host=0):
+    return await asyncio.open_connection(d.hosts[host].ip, CALLERS_PORT)
+
+
+async def send_on(d, connection, route, **more):
+    """Sends a request on a connection; returns its id and the response."""
+    reader, writer = connection
+    rid, raw = d.request_bytes(route, **more)
+    writer.write(raw)
+    return rid, await asyncio.wait_for(read_response(reader), 12)
+
+
+# Guards against calls that get no answer because the host that took them late
+# in its grace ends first.
+async def test_answers_late_calls_before_it_ends(d):
+    await start_with_targets(d, 500)
+    for e in plain_endpoints(d):
+        e.faults = ["hang"] * 4
+    kept = [await connect(d) for _ in range(2)]
+    stop = time.monotonic()
+    d.hosts[0].signal(signal.SIGTERM)
+    await asyncio.sleep(2.4)
+    done = await asyncio.gather(
+        send_on(d, kept[0], "non_idempotent", deadline_ms=20000),
+        send_on(d, kept[1], "idempotent", deadline_ms=20000))
+    statuses = [r.status for _, r in done]
+    assert statuses == [504, 504], statuses
+    assert await asyncio.wait_for(d.hosts[0].process.wait(), 3) == 0
+    assert time.monotonic() - stop < 8
+
+
+# The same for calls that the host took before its stop.
+async def test_answers_running_calls_before_it_ends(d):
+    await start_with_targets(d, 500)
+    for e in plain_endpoints(d):
+        e.faults = ["hang"]
+    call = asyncio.ensure_future(
+        d.request("non_idempotent", deadline_ms=20000, timeout_s=12))
+    await asyncio.sleep(0.2)
+    d.hosts[0].signal(signal.SIGTERM)
+    _, r = await call
+    assert r.status == 504, r.status
+
+
+
 async def test_refuses_smuggled_requests(d):
     await start_small(d)
     hidden = b"GET /idempotent/hidden HTTP/1.1\r\nHost: x.example\r\n\r\n"
