drain: refuse requests that probably outlast the stop of this host

Callers lost requests that came late in the grace of a planned stop: they were taken and passed on to an endpoint, and the host ended first. Among them were calls that may not be repeated.

Cause: while the load balancer still sends, any call was accepted, however long it takes; and a request that had waited for capacity was sent without asking how much of the grace was left.

Change: during a stop a call is accepted if its deadline is before the end, or if it probably ends by then, by the time that recent calls took and its latency target; three times that time if it may not be repeated. Streams that cannot go on elsewhere count with more of the length that they may have. The same is asked again before each attempt of a request that nothing has executed yet.

--- a/cmd/figbend/gateway/req.c
+++ b/cmd/figbend/gateway/req.c
@@ -269,6 +269,8 @@
 
 void req_complete(struct req *r)
 {
+	int64_t took_us;
+
 	log_end(r, "answered", r->status, "");
 	stats_add(&r->g->stats, STATS_ANSWERED, 1);
 	if (r->response_started) {
@@ -278,8 +280,10 @@
 			      r->events.n_events);
 		h1_stream_end(r->conn);
 	} else {
-		stats_observe(&r->g->stats, STATS_RESPONSE_S,
-			      gateway_now_us(r->g) - r->received_us);
+		took_us = gateway_now_us(r->g) - r->received_us;
+		stats_observe(&r->g->stats, STATS_RESPONSE_S, took_us);
+		if (r->route->kind != CALL_STREAM)
+			drain_observe_call(&r->g->drain, took_us);
 		h1_respond(r->conn, r->status, h1_buf_data(&r->fields),
 			   h1_buf_data(&r->body), h1_buf_len(&r->body));
 	}
@@ -315,17 +319,24 @@
 		ev_timer_again(g->loop, &g->waiting_timer);
 }
 
+/* Refuses a request that this host has no time for before it stops. */
+static void refuse_stopping(struct req *r)
+{
+	r->retry_after_s = RETRY_AFTER_STOPPING_S;
+	req_refuse(r, STOPPING_REASON);
+}
+
 /* Ends a request whose deadline has passed. */
 static void end_at_deadline(struct req *r)
 {
 	const char *reason = "deadline exceeded";
 
-	if (ends_with_host(r)) {
+	if (ends_with_host(r))
 		reason = STOPPING_REASON;
-		r->retry_after_s = RETRY_AFTER_STOPPING_S;
-	}
 	if (may_have_executed(r))
 		req_fail(r, 504, reason);
+	else if (ends_with_host(r))
+		refuse_stopping(r);
 	else
 		req_refuse(r, reason);
 }
@@ -336,6 +347,10 @@
 		end_at_deadline(r);
 		return;
 	}
+	if (!may_have_executed(r) && !stop_leaves_time(r)) {
+		refuse_stopping(r);
+		return;
+	}
 	if (req_refuse_if_blocked(r))
 		return;
 	if (r->service && r->service->engine.present)
@@ -637,23 +652,6 @@
 	start_deadline(r);
 }
 
-/* Returns false if this host stops before the request would end. */
-static bool may_accept(const struct req *r)
-{
-	const struct call_prompt *p = &r->call.prompt;
-	uint32_t tokens = p->output_expected_tokens ? p->output_expected_tokens
-						    : p->output_max_tokens;
-	uint32_t per_event = r->service->engine.tokens_per_event;
-
-	if (r->route->kind == CALL_STREAM)
-		return drain_accepts_stream(&r->g->drain,
-					    (double)tokens /
-						    (per_event ? per_event : 1),
-					    r->received_us);
-	return drain_accepts_call(&r->g->drain, r->deadline_us - r->received_us,
-				  r->received_us);
-}
-
 /* Creates the request and starts its first step. */
 static void start(struct gateway *g, struct h1_conn *c,
 		  const struct call_head *call,
@@ -683,9 +681,8 @@
 		req_refuse(r, "service of the route is not declared");
 		return;
 	}
-	if (!may_accept(r)) {
-		r->retry_after_s = RETRY_AFTER_STOPPING_S;
-		req_refuse(r, STOPPING_REASON);
+	if (!stop_accepts(r)) {
+		refuse_stopping(r);
 		return;
 	}
 	ratelimit_retry_deposit(&g->retry_budgets, r->service->name,
--- a/cmd/figbend/gateway/req.h
+++ b/cmd/figbend/gateway/req.h
@@ -193,6 +193,16 @@
 				const struct h1_head *h,
 				struct call_response *out);
 
+/* stop.c: requests during a planned stop of this host. */
+
+/* Returns false if a request that has arrived is refused because of the stop. */
+bool stop_accepts(const struct req *r);
+/*
+ * Returns false if a request that has not been executed would probably not end
+ * before this host does.
+ */
+bool stop_leaves_time(const struct req *r);
+
 /* plain.c: services other than model engines. */
 
 /* Sends the request to an endpoint, queues it or refuses it. May free r. */
--- a/pkg/drain/test/drain_test.cc
+++ b/pkg/drain/test/drain_test.cc
@@ -8,13 +8,30 @@
 
 static const int64_t MS = 1000, S = 1000000;
 
+static bool accepts_call(const struct drain *d, int64_t longest_us,
+			 int64_t now_us, bool repeatable = true,
+			 int64_t target_us = 0)
+{
+	struct drain_call c = {longest_us, target_us, repeatable};
+
+	return drain_accepts_call(d, &c, now_us);
+}
+
+static bool accepts_stream(const struct drain *d, double events, int64_t now_us,
+			   bool repeatable = true, double max_events = 0)
+{
+	struct drain_stream s = {events, max_events, repeatable};
+
+	return drain_accepts_stream(d, &s, now_us);
+}
+
 TEST(Drain, AcceptsAllUntilTheStop)
 {
 	struct drain d;
 
 	drain_init(&d, 8);
-	EXPECT_TRUE(drain_accepts_call(&d, 60 * S, 0));
-	EXPECT_TRUE(drain_accepts_stream(&d, 1e6, 0));
+	EXPECT_TRUE(accepts_call(&d, 60 * S, 0));
+	EXPECT_TRUE(accepts_stream(&d, 1e6, 0));
 	EXPECT_FALSE(drain_is_over(&d, 100 * S));
 }
 
@@ -24,11 +41,11 @@
 
 	drain_init(&d, 8);
 	drain_start(&d, 0);
-	EXPECT_TRUE(drain_accepts_call(&d, 14 * S, 2 * S))
+	EXPECT_TRUE(accepts_call(&d, 14 * S, 2 * S))
 		<< "most calls end long before their deadline";
-	EXPECT_TRUE(drain_accepts_call(&d, 1 * S, 6 * S));
-	EXPECT_FALSE(drain_accepts_call(&d, 1 * S, 6800 * MS));
-	EXPECT_FALSE(drain_accepts_call(&d, 14 * S, 4 * S));
+	EXPECT_TRUE(accepts_call(&d, 1 * S, 6 * S));
+	EXPECT_FALSE(accepts_call(&d, 1 * S, 6800 * MS));
+	EXPECT_FALSE(accepts_call(&d, 14 * S, 4 * S));
 	EXPECT_TRUE(drain_is_over(&d, 7701 * MS));
 }
 
@@ -75,7 +92,7 @@
 
 			offered++;
 			aborted_before += outlasts;
-			if (!drain_accepts_stream(&d, hint, now)) {
+			if (!accepts_stream(&d, hint, now)) {
 				EXPECT_GT(300 * MS + hint * 52 * MS,
 					  (7700 * MS - now) / 2)
 					<< "a short stream is refused";
@@ -99,6 +116,65 @@
 	for (int i = 0; i < 100; i++)
 		drain_observe(&d, 100 * MS, 9 * 500 * MS, 10);
 	drain_start(&d, 0);
-	EXPECT_FALSE(drain_accepts_stream(&d, 20, 0));
-	EXPECT_TRUE(drain_accepts_stream(&d, 5, 0));
+	EXPECT_FALSE(accepts_stream(&d, 20, 0));
+	EXPECT_TRUE(accepts_stream(&d, 5, 0));
+}
+
+/*
+ * Guards against calls that were accepted while the load balancer still sends,
+ * whatever their deadline, and that the end of the host cut.
+ */
+TEST(Drain, RefusesCallsThatProbablyOutlastTheGrace)
+{
+	struct drain d;
+
+	drain_init(&d, 8);
+	for (int i = 0; i < 100; i++)
+		drain_observe_call(&d, i % 2 ? 1000 * MS : 200 * MS);
+	drain_start(&d, 0);
+	EXPECT_TRUE(accepts_call(&d, 20 * S, 0));
+	EXPECT_FALSE(accepts_call(&d, 20 * S, 2 * S, true, 6 * S));
+	EXPECT_TRUE(accepts_call(&d, 5 * S, 2 * S, true, 6 * S))
+		<< "its deadline is before the end";
+	for (int i = 0; i < 100; i++)
+		drain_observe_call(&d, 6 * S);
+	EXPECT_FALSE(accepts_call(&d, 20 * S, 2 * S)) << "calls have slowed";
+}
+
+/* The same; these calls would be lost, as nobody may send them again. */
+TEST(Drain, KeepsMoreTimeForCallsThatMayNotBeRepeated)
+{
+	struct drain d;
+
+	drain_init(&d, 8);
+	for (int i = 0; i < 100; i++)
+		drain_observe_call(&d, 2 * S);
+	drain_start(&d, 0);
+	EXPECT_TRUE(accepts_call(&d, 20 * S, 0, false));
+	EXPECT_FALSE(accepts_call(&d, 20 * S, 2 * S, false));
+	EXPECT_TRUE(accepts_call(&d, 20 * S, 2 * S, true));
+}
+
+/* Guards against a stream that waits, and then starts too late to end in time. */
+TEST(Drain, StartsNoStreamThatNoLongerFits)
+{
+	struct drain_stream s = {40, 0, true};
+	struct drain d;
+
+	drain_init(&d, 8);
+	drain_start(&d, 0);
+	EXPECT_TRUE(drain_fits_stream(&d, &s, 2 * S));
+	EXPECT_FALSE(drain_fits_stream(&d, &s, 5 * S));
+}
+
+TEST(Drain, KeepsMoreTimeForStreamsThatCannotGoOnElsewhere)
+{
+	struct drain d;
+
+	drain_init(&d, 8);
+	drain_start(&d, 0);
+	EXPECT_TRUE(accepts_stream(&d, 60, 0, true));
+	EXPECT_FALSE(accepts_stream(&d, 60, 0, false));
+	EXPECT_TRUE(accepts_stream(&d, 60, 0, false, 100))
+		<< "it has 100 events at most";
 }
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -982,6 +982,46 @@
     assert r.status == 504, r.status
 
 
+# Guards against calls that are passed on although they take longer than the
+# host runs.
+async def test_refuses_long_calls_late_in_the_grace(d):
+    await start_with_targets(d, 4000)
+    kept = [await connect(d) for _ in range(2)]
+    d.hosts[0].signal(signal.SIGTERM)
+    await asyncio.sleep(2.4)
+    for e in plain_endpoints(d):
+        e.work_s = 6
+    rid, r = await send_on(d, kept[0], "non_idempotent", deadline_ms=20000)
+    assert r.status == 503 and executions(d, rid) == 0, r.status
+    assert 0 < float(r.headers["retry-after"]) < 0.5
+    for e in plain_endpoints(d):
+        e.work_s = 3
+    _, r = await send_on(d, kept[1], "idempotent", deadline_ms=20000)
+    assert r.status == 200, "a repeatable call still fits"
+
+
+# Guards against calls that waited for capacity, and then are passed on although
+# the host ends too soon.
+async def test_refuses_waiting_calls_late_in_the_grace(d):
+    await start_with_targets(d, 3000)
+    for e in plain_endpoints(d):
+        e.work_s = 6
+        d.store.put("keyed.servers", e.name, None)
+    await asyncio.sleep(0.3)
+    kept = await connect(d)
+    d.hosts[0].signal(signal.SIGTERM)
+    await asyncio.sleep(1.5)
+    call = asyncio.ensure_future(
+        send_on(d, kept, "idempotent", deadline_ms=20000))
+    await asyncio.sleep(2.8)
+    assert not call.done(), "does not wait"
+    await asyncio.sleep(0.6)
+    for e in plain_endpoints(d):
+        d.store.put_json("keyed.servers", e.name, e.entry())
+    rid, r = await call
+    assert r.status == 503 and executions(d, rid) == 0, r.status
+
+
 
 async def test_refuses_smuggled_requests(d):
     await start_small(d)
