h1: a head whose body does not come gets 408

A caller whose request head had been read, but not a byte of its body, saw the connection close without an answer at the idle timeout.

Cause: the timer took a connection without buffered bytes for an idle one; the head is no longer in the buffer once it has been parsed.

Evidence: h1_socket Server.AnswersAHeadWhoseBodyDoesNotCome failed before (no answer), passes now.

--- a/pkg/h1/server.c
+++ b/pkg/h1/server.c
@@ -418,7 +418,7 @@
 		conn_disconnected(c);
 		return;
 	}
-	if (c->state == H1_READING && request_bytes(c)) {
+	if (c->state == H1_READING && (c->in_body || request_bytes(c))) {
 		reject(c, 408, "request not received in time");
 		return;
 	}
--- a/pkg/h1/test/h1_socket_test.cc
+++ b/pkg/h1/test/h1_socket_test.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <functional>
 #include <string>
 #include <sys/socket.h>
@@ -109,18 +110,27 @@
 		ev_timer_start(loop, &t);
 		ev_run(loop, 0);
 	}
-	/* Sends bytes, runs the loop, and returns the bytes received. */
-	std::string exchange(int fd, const std::string &bytes,
-			     double duration_s = 0.05)
+	/* Sends bytes without running the loop. */
+	static void send_bytes(int fd, const std::string &bytes)
 	{
-		char p[65536];
-
 		EXPECT_EQ(send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL),
 			  (ssize_t)bytes.size());
+	}
+	/* Runs the loop and returns the bytes received. */
+	std::string receive(int fd, double duration_s = 0.05)
+	{
+		char p[65536];
+
 		run_loop(duration_s);
 		ssize_t n = recv(fd, p, sizeof(p), 0);
 		return n > 0 ? std::string(p, (size_t)n) : "";
 	}
+	std::string exchange(int fd, const std::string &bytes,
+			     double duration_s = 0.05)
+	{
+		send_bytes(fd, bytes);
+		return receive(fd, duration_s);
+	}
 };
 
 TEST(Server, RespondsToPipelinedRequestsInOrder)
@@ -176,6 +186,27 @@
 	EXPECT_EQ(s.rejected, (std::vector<uint16_t>{431, 413, 408}));
 }
 
+/* Returns the status of the first response, "" if there is none. */
+static std::string status_of(const std::string &responses)
+{
+	return responses.size() < 12 ? "" : responses.substr(9, 3);
+}
+
+/* Guards against a connection that closes without a word after the head. */
+TEST(Server, AnswersAHeadWhoseBodyDoesNotCome)
+{
+	Server s;
+	int fd = s.connect();
+
+	EXPECT_EQ(status_of(s.exchange(fd,
+				       "POST / HTTP/1.1\r\nHost: x\r\n"
+				       "Content-Length: 5\r\n\r\n",
+				       0.6)),
+		  "408");
+	EXPECT_EQ(s.rejected, (std::vector<uint16_t>{408}));
+	close(fd);
+}
+
 TEST(Server, ReportsDisconnectWhileRequestWaits)
 {
 	Server s;
