h1: each head has its own header timeout

A caller that sent the start of a further request right behind one whose head came in two parts was held to the idle timeout instead of the header timeout.

Cause: head_started stayed set when the head of the first request was complete, so the timer was not restarted for the next one.

Evidence: h1_socket Server.LimitsTheTimeOfAHeadAfterOneInTwoParts (header timeout 0.2 s, idle timeout 5 s) failed before: no 408 after 0.4 s; passes now. Change: the flag ends with the head that it belongs to.

--- a/pkg/h1/server.c
+++ b/pkg/h1/server.c
@@ -294,6 +294,7 @@
 		return false;
 	}
 	h1_buf_consume(&c->in, n);
+	c->head_started = false;
 	h1_body_init(&c->body, &c->request.head);
 	c->in_body = true;
 	if (c->body.framing == H1_CONTENT_LENGTH &&
@@ -336,8 +337,6 @@
  */
 static void process_input(struct h1_conn *c)
 {
-	bool was_in_body = c->in_body;
-
 	while (c->state == H1_READING && !c->closing && !c->broken) {
 		if (!c->in_body && !read_head(c))
 			break;
@@ -352,7 +351,7 @@
 	flush(c);
 	if (c->in_body)
 		restart_timer(c, c->server->limits->idle_timeout_ms / 1000.);
-	else if (request_bytes(c) && (was_in_body || !c->head_started))
+	else if (request_bytes(c) && !c->head_started)
 		restart_timer(c, c->server->limits->header_timeout_ms / 1000.);
 	c->head_started = !c->in_body && request_bytes(c);
 }
--- a/pkg/h1/test/h1_socket_test.cc
+++ b/pkg/h1/test/h1_socket_test.cc
@@ -207,6 +207,21 @@
 	close(fd);
 }
 
+/* Guards against a head that may take as long as a connection may be idle. */
+TEST(Server, LimitsTheTimeOfAHeadAfterOneInTwoParts)
+{
+	Server s;
+	int fd = s.connect();
+
+	s.limits.idle_timeout_ms = 5000;
+	s.exchange(fd, "GET /1 HT");
+	std::string got =
+		s.exchange(fd, "TP/1.1\r\nHost: x\r\n\r\nGET /2 HT", 0.4);
+	EXPECT_NE(got.find("HTTP/1.1 200"), std::string::npos);
+	EXPECT_NE(got.find("HTTP/1.1 408"), std::string::npos);
+	close(fd);
+}
+
 TEST(Server, ReportsDisconnectWhileRequestWaits)
 {
 	Server s;
