h1: input that has arrived is served before its connection times out

After a stall of the process, or during a planned stop, a whole request that had arrived on an idle connection was read, thrown away and never answered. The end of a request that had arrived in time got 408.

Cause: the loop runs timers before input, and the timer and h1_server_close_idle() closed connections without a look at their sockets.

Evidence: h1_socket Server.ServesInputThatWaitsWhenTheIdleTimeIsOver, ServesInputThatWaitsWhenTheHeaderTimeIsOver and ServesInputThatWaitsOnAConnectionToBeClosed failed before: no answer, 408, no answer. They pass now.

Change: both read the socket first, and go on only if that changes nothing.

--- a/pkg/h1/h1.h
+++ b/pkg/h1/h1.h
@@ -194,8 +194,8 @@
 	bool closing;	       /* closes once out has been sent */
 	bool close_after;      /* the connection closes after this response */
 	bool response_chunked;
-	bool lingering; /* out is sent; waits for the peer to close */
-	bool broken;	/* a send failed, or a response that is not chunked was
+	bool lingering;	  /* out is sent; waits for the peer to close */
+	bool broken; /* a send failed, or a response that is not chunked was
 			 * aborted; the timer frees the connection */
 	struct h1_request request;
 	struct h1_body body;
@@ -259,7 +259,7 @@
 void h1_server_finish(struct h1_server *s);
 /*
  * Closes the connections on which no request is being received or waits for its
- * response.
+ * response. Input that has arrived on them is served first.
  */
 void h1_server_close_idle(struct h1_server *s);
 
--- a/pkg/h1/server.c
+++ b/pkg/h1/server.c
@@ -357,10 +357,10 @@
 }
 
 /*
- * Receives into the input; a connection that is closing discards it. Returns 0,
- * or -EPIPE if the connection has ended.
+ * Receives into the input; a connection that is closing discards it. Returns the
+ * number of bytes added to the input, or -EPIPE if the connection has ended.
  */
-static int receive(struct h1_conn *c)
+static ssize_t receive(struct h1_conn *c)
 {
 	char p[READ_BYTES];
 	ssize_t n = recv(c->fd, p, sizeof(p), 0);
@@ -374,25 +374,20 @@
 	if (h1_buf_append(&c->in, p, (size_t)n) < 0)
 		return -EPIPE;
 	update_buffered_bytes(c);
-	return 0;
+	return n;
 }
 
-static void on_readable(struct ev_loop *loop, ev_io *w, int events)
+static void process_received(struct h1_conn *c)
 {
-	struct h1_conn *c = w->data;
 	struct h1_server *s = c->server;
 
-	if ((events & EV_READ) && receive(c) < 0) {
-		conn_disconnected(c);
-		return;
-	}
 	if (c->state == H1_RESPONDING) {
 		if (h1_buf_len(&c->in) > PIPELINED_MAX_BYTES)
-			ev_io_stop(loop, &c->reader);
+			ev_io_stop(s->loop, &c->reader);
 		return;
 	}
 	if (!ev_is_active(&c->reader) && !c->broken)
-		ev_io_start(loop, &c->reader);
+		ev_io_start(s->loop, &c->reader);
 	process_input(c);
 	update_buffered_bytes(c);
 	if (s->buffered_bytes > s->buffered_max_bytes && !c->closing &&
@@ -400,11 +395,45 @@
 		reject(c, 503, "too many request bytes buffered");
 }
 
+static void on_readable(struct ev_loop *loop, ev_io *w, int events)
+{
+	struct h1_conn *c = w->data;
+
+	if ((events & EV_READ) && receive(c) < 0)
+		conn_disconnected(c);
+	else
+		process_received(c);
+}
+
 static void on_writable(struct ev_loop *loop, ev_io *w, int events)
 {
 	flush(w->data);
 }
 
+/*
+ * Serves input that has arrived and was not read yet, as after a stall of the
+ * process. Returns true if the connection has ended or waits for something else
+ * now; its timer is not running before.
+ */
+static bool serve_waiting_input(struct h1_conn *c)
+{
+	ssize_t n = receive(c);
+
+	if (n < 0) {
+		conn_disconnected(c);
+		return true;
+	}
+	if (n > 0)
+		process_received(c);
+	return c->state != H1_READING || ev_is_active(&c->timer);
+}
+
+static void close_idle(struct h1_conn *c)
+{
+	c->closing = true;
+	flush(c);
+}
+
 /*
  * A timeout, the end of lingering, or the deferred free of a broken connection.
  * Idle connections close without a response.
@@ -413,16 +442,14 @@
 {
 	struct h1_conn *c = w->data;
 
-	if (c->broken || c->lingering) {
+	if (c->broken || c->lingering)
 		conn_disconnected(c);
+	else if (serve_waiting_input(c))
 		return;
-	}
-	if (c->state == H1_READING && (c->in_body || request_bytes(c))) {
+	else if (c->in_body || request_bytes(c))
 		reject(c, 408, "request not received in time");
-		return;
-	}
-	c->closing = true;
-	flush(c);
+	else
+		close_idle(c);
 }
 
 static void conn_new(struct h1_server *s, int fd)
@@ -513,8 +540,9 @@
 		next = TAILQ_NEXT(c, entry);
 		if (c->state == H1_READING && !request_bytes(c) &&
 		    !c->in_body && !c->closing) {
-			c->closing = true;
-			flush(c);
+			ev_timer_stop(s->loop, &c->timer);
+			if (!serve_waiting_input(c))
+				close_idle(c);
 		}
 	}
 }
--- a/pkg/h1/test/h1_socket_test.cc
+++ b/pkg/h1/test/h1_socket_test.cc
@@ -222,6 +222,52 @@
 	close(fd);
 }
 
+static const char get[] = "GET /1 HTTP/1.1\r\nHost: x\r\n\r\n";
+
+/*
+ * Guards against a request that gets no answer because its connection is closed
+ * as idle after the process was stalled.
+ */
+TEST(Server, ServesInputThatWaitsWhenTheIdleTimeIsOver)
+{
+	Server s;
+	int fd = s.connect();
+
+	s.run_loop(0.3);
+	s.send_bytes(fd, get);
+	usleep(200000);
+	s.run_loop(0);
+	EXPECT_EQ(status_of(s.receive(fd)), "200");
+	close(fd);
+}
+
+/* The same for the end of a request, which was answered with 408. */
+TEST(Server, ServesInputThatWaitsWhenTheHeaderTimeIsOver)
+{
+	Server s;
+	int fd = s.connect();
+
+	s.exchange(fd, std::string(get, 10));
+	s.send_bytes(fd, get + 10);
+	usleep(300000);
+	s.run_loop(0);
+	EXPECT_EQ(status_of(s.receive(fd)), "200");
+	close(fd);
+}
+
+/* The same when the server closes its idle connections. */
+TEST(Server, ServesInputThatWaitsOnAConnectionToBeClosed)
+{
+	Server s;
+	int fd = s.connect();
+
+	s.exchange(fd, get);
+	s.send_bytes(fd, get);
+	h1_server_close_idle(&s.server);
+	EXPECT_EQ(status_of(s.receive(fd)), "200");
+	close(fd);
+}
+
 TEST(Server, ReportsDisconnectWhileRequestWaits)
 {
 	Server s;
