h1: a request that crosses the close of an idle connection sees a reset

A request that reached a connection just as this host closed it as idle was read and thrown away; the connection stayed open for up to a second, and nothing was logged.

Cause: an idle connection lingered like one on which a response had just been sent, and input was discarded meanwhile.

Evidence: h1_socket Server.ResetsAConnectionWhoseRequestCrossesTheClose failed before: the connection was still open after 20 ms, the peer's socket had no error, and the rejected handler was not called. It passes now.

Change: such input is left unread, and the connection is closed, which makes the kernel reset it: the caller learns within a round trip that its request was not read.

--- a/pkg/h1/h1.h
+++ b/pkg/h1/h1.h
@@ -195,6 +195,7 @@
 	bool close_after;      /* the connection closes after this response */
 	bool response_chunked;
 	bool lingering;	  /* out is sent; waits for the peer to close */
+	bool closed_idle; /* closing, without a response to be sent before */
 	bool broken; /* a send failed, or a response that is not chunked was
 			 * aborted; the timer frees the connection */
 	struct h1_request request;
@@ -217,9 +218,10 @@
 	 */
 	void (*disconnected)(void *ctx, struct h1_conn *c);
 	/*
-	 * A request was rejected before it was complete, with this status, or a
-	 * connection over conns_max was closed, with status 0. The reason is a
-	 * static string for a log.
+	 * A request was rejected before it was complete, with this status. With
+	 * status 0, a connection over conns_max was closed, or a request
+	 * arrived on a connection that had just been closed as idle, and was
+	 * not read. The reason is a static string for a log.
 	 */
 	void (*rejected)(void *ctx, uint16_t status, const char *reason);
 };
--- a/pkg/h1/server.c
+++ b/pkg/h1/server.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -395,11 +396,30 @@
 		reject(c, 503, "too many request bytes buffered");
 }
 
+/*
+ * Ends a connection that was closed as idle, when its peer has closed it too or
+ * has sent a request that crossed the close. Such a request is not read: the
+ * kernel resets a connection that is closed with unread input, so the peer
+ * learns at once that it was not served.
+ */
+static void end_closed_idle(struct h1_conn *c)
+{
+	int unread_bytes = 0;
+
+	if (ioctl(c->fd, FIONREAD, &unread_bytes) == 0 && unread_bytes > 0)
+		c->server->handlers->rejected(
+			c->server->ctx, 0,
+			"request crossed the close of an idle connection");
+	conn_free(c);
+}
+
 static void on_readable(struct ev_loop *loop, ev_io *w, int events)
 {
 	struct h1_conn *c = w->data;
 
-	if ((events & EV_READ) && receive(c) < 0)
+	if (c->closed_idle)
+		end_closed_idle(c);
+	else if ((events & EV_READ) && receive(c) < 0)
 		conn_disconnected(c);
 	else
 		process_received(c);
@@ -431,6 +451,7 @@
 static void close_idle(struct h1_conn *c)
 {
 	c->closing = true;
+	c->closed_idle = !h1_buf_len(&c->out);
 	flush(c);
 }
 
--- a/pkg/h1/test/h1_socket_test.cc
+++ b/pkg/h1/test/h1_socket_test.cc
@@ -268,6 +268,28 @@
 	close(fd);
 }
 
+/*
+ * Guards against a request that is read and thrown away on a connection that is
+ * closed as idle: its caller learns at once that it was not read.
+ */
+TEST(Server, ResetsAConnectionWhoseRequestCrossesTheClose)
+{
+	Server s;
+	int fd = s.connect(), error = 0;
+	socklen_t n = sizeof(error);
+
+	s.exchange(fd, get);
+	h1_server_close_idle(&s.server);
+	s.send_bytes(fd, get);
+	EXPECT_EQ(s.receive(fd, 0.02), "");
+	EXPECT_EQ(s.server.conns_n, 0u);
+	EXPECT_EQ(s.requests.size(), 1u);
+	EXPECT_EQ(s.rejected, (std::vector<uint16_t>{0})) << "it is reported";
+	getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &n);
+	EXPECT_TRUE(error == EPIPE || error == ECONNRESET) << error;
+	close(fd);
+}
+
 TEST(Server, ReportsDisconnectWhileRequestWaits)
 {
 	Server s;
