h1: a raised idle timeout holds for connections that are idle already

After the operator had raised IdleTimeoutMs, a caller that reused a connection by the new value met a closed one.

Cause: the timer of an idle connection had been started with the lower value, and the connection was closed when it ran out.

After a fall, the timer of a connection that is idle already keeps the higher value: ALoweredIdleTimeDoesNotHoldForIdleConnections passed before and passes.

Change: when the timer runs out, the limit of that moment counts too.

--- a/pkg/h1/h1.h
+++ b/pkg/h1/h1.h
@@ -156,7 +156,7 @@
 	uint32_t header_timeout_ms;
 	/*
 	 * Maximum time without input, before a request starts and while its
-	 * body is received.
+	 * body is received. If it changes meanwhile, the longer one holds.
 	 */
 	uint32_t idle_timeout_ms;
 };
@@ -190,6 +190,7 @@
 	enum h1_conn_state state;
 	bool in_body;	       /* the head of the request has been read */
 	bool head_started;     /* part of the next head has arrived */
+	double idle_since_s;   /* loop time since which no input has arrived */
 	size_t buffered_bytes; /* part of the server's buffered_bytes */
 	bool closing;	       /* closes once out has been sent */
 	bool close_after;      /* the connection closes after this response */
--- a/pkg/h1/server.c
+++ b/pkg/h1/server.c
@@ -109,6 +109,13 @@
 	ev_timer_start(c->server->loop, &c->timer);
 }
 
+/* The connection is idle, or received a part of a body, just now. */
+static void restart_idle_timer(struct h1_conn *c)
+{
+	c->idle_since_s = ev_now(c->server->loop);
+	restart_timer(c, c->server->limits->idle_timeout_ms / 1000.);
+}
+
 /*
  * Defers the free to the timer, since callers of the functions that send may
  * still use the connection.
@@ -168,7 +175,7 @@
 	flush(c);
 	if (c->closing || c->broken)
 		return;
-	restart_timer(c, c->server->limits->idle_timeout_ms / 1000.);
+	restart_idle_timer(c);
 	/* Pipelined input is processed from the loop, not by recursion. */
 	ev_feed_event(c->server->loop, &c->reader, EV_CUSTOM);
 }
@@ -351,7 +358,7 @@
 		return;
 	flush(c);
 	if (c->in_body)
-		restart_timer(c, c->server->limits->idle_timeout_ms / 1000.);
+		restart_idle_timer(c);
 	else if (request_bytes(c) && !c->head_started)
 		restart_timer(c, c->server->limits->header_timeout_ms / 1000.);
 	c->head_started = !c->in_body && request_bytes(c);
@@ -455,6 +462,19 @@
 	flush(c);
 }
 
+/* Restarts the timer of an idle connection if the limit has risen meanwhile. */
+static bool may_stay_idle(struct h1_conn *c)
+{
+	double left_s = c->idle_since_s +
+			c->server->limits->idle_timeout_ms / 1000. -
+			ev_now(c->server->loop);
+
+	if (c->head_started || left_s <= 0)
+		return false;
+	restart_timer(c, left_s);
+	return true;
+}
+
 /*
  * A timeout, the end of lingering, or the deferred free of a broken connection.
  * Idle connections close without a response.
@@ -465,7 +485,7 @@
 
 	if (c->broken || c->lingering)
 		conn_disconnected(c);
-	else if (serve_waiting_input(c))
+	else if (serve_waiting_input(c) || may_stay_idle(c))
 		return;
 	else if (c->in_body || request_bytes(c))
 		reject(c, 408, "request not received in time");
@@ -487,13 +507,12 @@
 	c->fd = fd;
 	ev_io_init(&c->reader, on_readable, fd, EV_READ);
 	ev_io_init(&c->writer, on_writable, fd, EV_WRITE);
-	ev_timer_init(&c->timer, on_timer, s->limits->idle_timeout_ms / 1000.,
-		      0.);
+	ev_timer_init(&c->timer, on_timer, 0., 0.);
 	c->reader.data = c->writer.data = c->timer.data = c;
 	TAILQ_INSERT_TAIL(&s->conns, c, entry);
 	s->conns_n++;
 	ev_io_start(s->loop, &c->reader);
-	ev_timer_start(s->loop, &c->timer);
+	restart_idle_timer(c);
 }
 
 static void on_accept(struct ev_loop *loop, ev_io *w, int events)
--- a/pkg/h1/test/h1_socket_test.cc
+++ b/pkg/h1/test/h1_socket_test.cc
@@ -290,6 +290,40 @@
 	close(fd);
 }
 
+/*
+ * Guards against a connection that is closed although its caller may use it
+ * again by the limit that is in force now.
+ */
+TEST(Server, ARaisedIdleTimeHoldsForIdleConnections)
+{
+	Server s;
+	int fd = s.connect();
+
+	s.limits.idle_timeout_ms = 200;
+	s.exchange(fd, get);
+	s.limits.idle_timeout_ms = 600;
+	s.run_loop(0.45);
+	EXPECT_EQ(status_of(s.exchange(fd, get)), "200");
+	char p;
+	s.run_loop(0.7);
+	EXPECT_EQ(recv(fd, &p, 1, 0), 0) << "the connection is closed";
+	close(fd);
+}
+
+/* The same by the limit that was in force when the connection became idle. */
+TEST(Server, ALoweredIdleTimeDoesNotHoldForIdleConnections)
+{
+	Server s;
+	int fd = s.connect();
+
+	s.limits.idle_timeout_ms = 600;
+	s.exchange(fd, get);
+	s.limits.idle_timeout_ms = 200;
+	s.run_loop(0.45);
+	EXPECT_EQ(status_of(s.exchange(fd, get)), "200");
+	close(fd);
+}
+
 TEST(Server, ReportsDisconnectWhileRequestWaits)
 {
 	Server s;
