gateway: a lower idle timeout holds once callers know it

After the operator had lowered IdleTimeoutMs, a caller that did not know that yet reused a connection by the old value, as it may, and met a closed one.

Cause: a connection that became idle right after the change was closed by the new value.

Change: a lower value takes effect 5 s after its configuration; a higher one at once, as before.

--- a/cmd/figbend/gateway/gateway.c
+++ b/cmd/figbend/gateway/gateway.c
@@ -170,6 +170,7 @@
 
 	fleet_expire(&g->fleet, now_us);
 	store_reader_settle(g);
+	store_apply_settle(g, now_us);
 	if (g->drain.stopping)
 		check_stop(g, now_us);
 }
--- a/cmd/figbend/gateway/gateway.h
+++ b/cmd/figbend/gateway/gateway.h
@@ -99,6 +99,8 @@
 	struct store_reader reader[ADAPTER_TOPICS];
 	struct records records[ADAPTER_TOPICS];
 	struct directory *directory; /* NULL before the first one */
+	/* When a lower idle timeout of the directory holds; 0 if it does. */
+	int64_t idle_timeout_falls_us;
 
 	/* host_record.c */
 	struct h1_exchange register_exchange; /* writes this host's record */
@@ -211,6 +213,8 @@
 void store_apply_held(struct gateway *g);
 /* Returns true if the crash of an endpoint would show in the records. */
 bool store_apply_shows_crashes(const struct gateway *g);
+/* Puts a lower idle timeout into effect when callers know it. */
+void store_apply_settle(struct gateway *g, int64_t now_us);
 
 /*
  * host_record.c: this host's record in the store. host_record_init() writes it,
--- a/cmd/figbend/gateway/store_apply.c
+++ b/cmd/figbend/gateway/store_apply.c
@@ -20,6 +20,32 @@
  * delay of a read and the time that a request takes to arrive are subtracted
  * from that. */
 #define EXPIRED_GRACE_US 1100000LL
+/* Callers know of a lower idle timeout this long after this host. */
+#define IDLE_TIMEOUT_HOLD_US 5000000LL
+
+/*
+ * A lower idle timeout than that of the directory in force holds only after a
+ * while: a caller that does not know it yet reuses connections by the old one.
+ */
+static void set_idle_timeout(struct gateway *g, uint32_t timeout_ms)
+{
+	bool falls = g->directory && timeout_ms < g->limits.idle_timeout_ms;
+
+	if (g->directory && g->directory->limits.idle_timeout_ms == timeout_ms)
+		return;
+	g->idle_timeout_falls_us =
+		falls ? gateway_now_us(g) + IDLE_TIMEOUT_HOLD_US : 0;
+	if (!falls)
+		g->limits.idle_timeout_ms = timeout_ms;
+}
+
+void store_apply_settle(struct gateway *g, int64_t now_us)
+{
+	if (!g->idle_timeout_falls_us || now_us < g->idle_timeout_falls_us)
+		return;
+	g->idle_timeout_falls_us = 0;
+	g->limits.idle_timeout_ms = g->directory->limits.idle_timeout_ms;
+}
 
 /* Puts a configuration in force if it is newer than the current one. */
 static void apply_directory(struct gateway *g, const char *value, size_t n,
@@ -51,12 +77,12 @@
 		g->directory ? (long long)g->directory->version : -1LL,
 		(unsigned long long)record_offset(position), source,
 		d->n_routes, d->n_accounts);
+	set_idle_timeout(g, d->limits.idle_timeout_ms);
 	directory_unref(g->directory);
 	g->directory = d;
 	g->limits.header_max_bytes = d->limits.header_max_bytes;
 	g->limits.body_max_bytes = d->limits.body_max_bytes;
 	g->limits.header_timeout_ms = d->limits.header_timeout_ms;
-	g->limits.idle_timeout_ms = d->limits.idle_timeout_ms;
 	for (i = 0; i < d->n_accounts; i++)
 		if (ratelimit_account_set(&g->ratelimit, d->account[i].name,
 					  d->account[i].rate_per_s,
--- a/test/pools/deployment.py
+++ b/test/pools/deployment.py
@@ -121,6 +121,7 @@
         self.endpoints = []
         self.version = 0
         self.api_key, self.last_id = "key-one", 0
+        self.idle_ms = 5000
         self.hold_ms = 2000  # 0 if engines take no reservations
         self.routes = [
             self.route("non_idempotent", "non_idempotent", "plain",
@@ -155,7 +156,8 @@
                             "Stride": 8,
                             "Models": [{"Name": "m"}]}}],
             "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 100000,
-                       "HeaderTimeoutMs": 1000, "IdleTimeoutMs": 5000},
+                       "HeaderTimeoutMs": 1000,
+                       "IdleTimeoutMs": self.idle_ms},
             "Tenants": self.accounts})
 
     async def add_endpoint(self, service, domain, stage=None, **more):
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -1022,6 +1022,43 @@
     assert r.status == 503 and executions(d, rid) == 0, r.status
 
 
+async def change_idle_timeout(d, ms):
+    d.idle_ms = ms
+    d.routes.append(d.route(f"idle{ms}", "idempotent", "plain", 1))
+    d.publish_config()
+    await wait_until_served(d, f"idle{ms}")
+
+
+# Guards against connections that are closed before their caller expects it, by
+# the idle limit that was in force before.
+async def test_keeps_idle_connections_after_the_limit_fell(d):
+    d.idle_ms = 3000
+    await start_small(d)
+    before = await connect(d)
+    await change_idle_timeout(d, 500)
+    after = await connect(d)
+    assert (await send_on(d, after, "idempotent"))[1].status == 200
+    await asyncio.sleep(0.8 * 3)
+    for connection in before, after:
+        assert (await send_on(d, connection, "idempotent"))[1].status == 200
+    # By now callers know the lower limit.
+    await asyncio.sleep(3)
+    late = await connect(d)
+    assert (await send_on(d, late, "idempotent"))[1].status == 200
+    end = await asyncio.wait_for(late[0].read(1), 2)
+    assert end == b"", "the lower limit does not hold"
+
+
+# The same by the limit that is in force now.
+async def test_keeps_idle_connections_after_the_limit_rose(d):
+    d.idle_ms = 700
+    await start_small(d)
+    before = await connect(d)
+    assert (await send_on(d, before, "idempotent"))[1].status == 200
+    await change_idle_timeout(d, 3000)
+    await asyncio.sleep(0.8 * 3)
+    assert (await send_on(d, before, "idempotent"))[1].status == 200
+
 
 async def test_refuses_smuggled_requests(d):
     await start_small(d)
