store_reader: what a restored store lacks is not dropped while it is away

If the store comes back from an older copy and is away again before the endpoints could write their entries, hosts dropped sound endpoints 2.5 s after the return: the time in which records are written again ran on without a store to write to.

Class of fault: giving up what one has before its replacement could come.

Change: the times after which lost records are dropped, and held ones put into effect, begin anew while the reads of the stream fail, or while this host waits for its turn to try them.

--- a/cmd/figbend/gateway/store_reader.c
+++ b/cmd/figbend/gateway/store_reader.c
@@ -158,7 +158,13 @@
 		enter_era(sr, record_era(position));
 }
 
-/* See gateway.h. */
+/* Returns true if no host of the domain reads the stream, as far as this one knows. */
+static bool store_is_away(const struct store_reader *sr)
+{
+	return sr->failures || sr->awaits_turn;
+}
+
+/* See gateway.h. While the store is away, nobody can write a record again. */
 void store_reader_settle(struct gateway *g)
 {
 	int64_t now_us = gateway_now_us(g);
@@ -167,6 +173,10 @@
 	for (t = 0; t < ADAPTER_TOPICS; t++) {
 		struct store_reader *sr = &g->reader[t];
 
+		if (sr->settle_us && store_is_away(sr))
+			sr->settle_us = now_us + SETTLE_US;
+		if (sr->release_us && store_is_away(sr))
+			sr->release_us = now_us + RELEASE_US;
 		if (sr->settle_us && now_us >= sr->settle_us) {
 			sr->settle_us = 0;
 			records_settle(&g->records[t], on_lost_key, sr);
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -787,6 +787,33 @@
     assert len(lost.received) == n, "its entry was not written again"
 
 
+# Guards against endpoints that are dropped although they cannot write their entries
+# again: the store is away once more, soon after it came back.
+async def test_keeps_endpoints_while_a_restored_store_is_away_again(d):
+    await start_with_eras(d)
+    copy = d.store.copy()
+    lost = await d.add_endpoint("plain", "a")
+    await asyncio.sleep(0.5)
+    restore(d, copy)
+    await asyncio.sleep(0.7)
+    for s in d.host_stores:
+        s.mode = "refuse"
+        for w in list(s.writers):
+            w.transport.abort()
+    await asyncio.sleep(4)
+    assert "event=store_restored stream=1 era=2" in d.hosts[0].log()
+    for _ in range(20):
+        assert await serves(d, 0, "idempotent")
+    assert lost.received, "its entry could not be written again"
+    for s in d.host_stores:
+        s.mode = "ok"
+    await asyncio.sleep(5)
+    lost.received.clear()
+    for _ in range(20):
+        assert await serves(d, 0, "idempotent")
+    assert not lost.received, "its entry was not written again"
+
+
 async def test_serves_while_the_store_is_down(d):
     await start_small(d)
     for s in d.host_stores:
