store_reader: a host that starts drops what a restored store lacks

Cause: records of an earlier era were dropped, and held ones put into effect, only after a change between two known eras, and a starting host knows none before.

Class of fault: numbers of two generations of a log, here taken to be of one.

Records that come from another host were not run.

--- a/cmd/figbend/gateway/store_reader.c
+++ b/cmd/figbend/gateway/store_reader.c
@@ -135,10 +135,12 @@
 
 	sr->present_era = era;
 	host_record_renew(g, era);
-	if (before < 0)
-		return;
-	logline(LOG_WARNING, "store_restored", "stream=%d era=%u before=%lld",
-		sr->topic, era, (long long)before);
+	/* A stream without a position may hold records of an earlier era, too: of
+	 * its first snapshot, or of a host that has not dropped them yet. */
+	if (before >= 0)
+		logline(LOG_WARNING, "store_restored",
+			"stream=%d era=%u before=%lld", sr->topic, era,
+			(long long)before);
 	sr->settle_us = now_us + SETTLE_US;
 	sr->release_us = now_us + RELEASE_US;
 	for (t = 0; t < ADAPTER_TOPICS; t++)
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -814,6 +814,40 @@
     assert not lost.received, "its entry was not written again"
 
 
+# Guards against endpoints that are used for ever: the store lost their entries while
+# a host that starts read its first snapshot.
+async def test_drops_what_the_store_loses_in_the_first_snapshot(d):
+    d.store.era = 1
+    d.publish_config()
+    lost = await d.add_endpoint("plain", "a")
+    for _ in range(6):
+        await d.add_endpoint("plain", "b")
+    copy = d.store.copy()
+    copy["keyed.servers"] = [row for row in copy["keyed.servers"]
+                             if row[0] != lost.name]
+    store = d.host_stores[0]
+    whole_snapshot = store.snapshot
+
+    def lose_after_a_page(topic, after_key):
+        page = whole_snapshot(topic, after_key)
+        if topic == "keyed.servers":
+            store.snapshot = whole_snapshot
+            d.store.restore(copy, [])
+        return page
+
+    store.snapshot = lose_after_a_page
+    await d.start()
+    await d.wait_ready()
+    assert d.store.era == 2
+    await asyncio.sleep(4)
+    for _ in range(20):
+        assert await serves(d, 0, "idempotent")
+    assert not lost.received, "the store has no entry of it"
+
+
+test_drops_what_the_store_loses_in_the_first_snapshot.hosts = 1
+
+
 async def test_serves_while_the_store_is_down(d):
     await start_small(d)
     for s in d.host_stores:
