store_apply: entries are held only while the store is being restored

An endpoint stayed out of use until the next entry of its own that was newer: its entry came to a restored store only after the held ones had been put into effect, and told no later state (start and sequence) than the last one known.

Cause: a record was compared with what is known of its key as long as that was of an earlier era, so for ever if it was dropped as lost, but held entries are put into effect once, 5 s after the change of the era.

Change: only a record of an era that the stream has not reached yet, or one that comes before lost records are dropped, is compared. All records of the older copy are such.

--- a/cmd/figbend/gateway/store_apply.c
+++ b/cmd/figbend/gateway/store_apply.c
@@ -208,7 +208,7 @@
 
 	return row && position > row->position &&
 	       (g->reader[t].settle_us ||
-		record_era(position) > record_era(row->position));
+		(int64_t)record_era(position) > g->reader[t].present_era);
 }
 
 /* Returns true if the configuration is older than the one in force. */
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -848,6 +848,23 @@
 test_drops_what_the_store_loses_in_the_first_snapshot.hosts = 1
 
 
+# Guards against endpoints that are never used again: their entry came late to a
+# restored store, and tells no later state than the one that is known.
+async def test_uses_an_endpoint_whose_entry_comes_late_to_a_restored_store(d):
+    await start_with_eras(d)
+    copy = d.store.copy()
+    late = await d.add_endpoint("plain", "a")
+    await asyncio.sleep(0.5)
+    restore(d, copy)
+    await asyncio.sleep(6)
+    late.received.clear()
+    d.store.put_json("keyed.servers", late.name, late.entry())
+    await asyncio.sleep(1)
+    for _ in range(20):
+        assert await serves(d, 0, "idempotent")
+    assert late.received
+
+
 async def test_serves_while_the_store_is_down(d):
     await start_small(d)
     for s in d.host_stores:
