store_apply: an entry that expires as the store is restored removes nothing at once

Hosts that leave reading to others removed an endpoint at once if its entry expired just after the store had come back from an older copy, and took that for a crash; hosts that read kept it for 1.1 s, in which it may write its entry again.

Cause: whether the store had been unavailable was told only by the failures of the reads of this host itself. A change of the era tells it too.

Class of fault: giving up what one has before its replacement could come.

Before: keeps_an_endpoint_that_expires_as_the_store_comes_back fails, 2 of 2 runs (endpoint_gone at a passive host). After: it passes, 2 of 2 runs, and so do the tests on lost endpoints and older copies. It still counts as a crash, as it does at hosts that read.

--- a/cmd/figbend/gateway/store_apply.c
+++ b/cmd/figbend/gateway/store_apply.c
@@ -125,6 +125,18 @@
 		gateway_now_us(g) - sr->recovered_us < after_us);
 }
 
+/*
+ * Returns true if the store has just come back from an older copy, as far as this
+ * host knows or the position of a new record shows.
+ */
+static bool store_was_restored(const struct gateway *g, enum adapter_topic t,
+			       uint64_t position)
+{
+	const struct store_reader *sr = &g->reader[t];
+
+	return sr->settle_us || (int64_t)record_era(position) > sr->present_era;
+}
+
 /* See gateway.h. */
 bool store_apply_shows_crashes(const struct gateway *g)
 {
@@ -140,7 +152,10 @@
 
 	if (!e)
 		return;
-	expired = !e->entry.draining && store_was_unavailable(g, RECOVERY_US);
+	/* A host that leaves reading to others sees no failure of the store. */
+	expired = !e->entry.draining &&
+		  (store_was_unavailable(g, RECOVERY_US) ||
+		   store_was_restored(g, ADAPTER_ENDPOINTS, position));
 	/* An endpoint drains before it stops in order: without that, the loss
 	 * of its entry counts as a crash. */
 	if (!e->entry.draining)
@@ -207,8 +222,7 @@
 	const struct record *row = records_find(&g->records[t], key);
 
 	return row && position > row->position &&
-	       (g->reader[t].settle_us ||
-		(int64_t)record_era(position) > g->reader[t].present_era);
+	       store_was_restored(g, t, position);
 }
 
 /* Returns true if the configuration is older than the one in force. */
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -865,6 +865,26 @@
     assert late.received
 
 
+# Guards against hosts that remove an endpoint at once when its entry expires as the
+# store comes back, since they leave reading to others and saw no outage.
+async def test_keeps_an_endpoint_that_expires_as_the_store_comes_back(d):
+    await start_with_eras(d)
+    copy = d.store.copy()
+    restore(d, copy)
+    await asyncio.sleep(0.7)
+    e = d.endpoints[0]
+    d.store.put("keyed.servers", e.name, None)
+    await asyncio.sleep(0.7)
+    d.store.put_json("keyed.servers", e.name, e.entry(Sequence=2))
+    await asyncio.sleep(0.7)
+    for h in d.hosts:
+        assert f"event=endpoint_gone endpoint={e.name}" not in h.log(), h.name
+
+
+test_keeps_an_endpoint_that_expires_as_the_store_comes_back.hosts = 6
+test_keeps_an_endpoint_that_expires_as_the_store_comes_back.domains = ("a",)
+
+
 async def test_serves_while_the_store_is_down(d):
     await start_small(d)
     for s in d.host_stores:
