record_fetch: keys count towards the size of a message

With 5,000 entries that cannot be read under keys of 255 bytes, hosts that get records from others did not learn that an endpoint leaves: the reply held no values, but its keys did not fit into a message. The same would hold for more than 8,192 records, the most that a message may have.

Change: keys and the fixed part of a record count, too, and so do records. The stand-in of the store no longer needs quadratic time for a long response.

Before: follows_a_list_of_many_long_keys fails, 2 of 2 runs with the faster stand-in. After: it passes, 2 of 2 runs. More than 8,192 records were not run.

--- a/cmd/figbend/gateway/record_fetch.c
+++ b/cmd/figbend/gateway/record_fetch.c
@@ -22,8 +22,10 @@
  * second value applies to hosts that take no compressed records. */
 #define OPERATORS_MAX_BYTES 262144
 #define OPERATORS_UNPACKED_MAX_BYTES 32768
-/* So are other records that with their keys may not fit into a message. */
+/* So are other records that may not fit into a message. */
 #define OTHERS_MAX_BYTES 786432
+/* What a message holds of a record beside its key and value, at most. */
+#define RECORD_FIELDS_BYTES 32
 
 /* A call for records; the host may be removed before the response. */
 struct fetch {
@@ -155,19 +157,22 @@
 	return r->row[i].value;
 }
 
-/* Returns the bytes of all values from an offset on, as they are sent. */
+/* Returns the bytes of all records from a position on, as they are sent. */
 static size_t bytes_to_send(struct records *r,
-			    const struct fig_records_get *get)
+			    const struct fig_records_get *get,
+			    uint32_t *n_records)
 {
 	size_t n, sum = 0;
 	uint32_t i;
 	bool packed;
 
+	*n_records = 0;
 	for (i = 0; i < r->n; i++) {
 		if (r->row[i].position < get->from)
 			continue;
 		value_to_send(r, i, get->takes_packed, &n, &packed);
-		sum += n;
+		sum += RECORD_FIELDS_BYTES + strlen(r->row[i].key) + n;
+		(*n_records)++;
 	}
 	return sum;
 }
@@ -224,17 +229,17 @@
 {
 	size_t bytes, most = OTHERS_MAX_BYTES;
 	struct records *r;
-	uint32_t i, k;
+	uint32_t i, k, n;
 
 	if (get->topic >= FIG_STREAMS)
 		return -EINVAL;
 	r = &g->records[get->topic];
 	got->topic = get->topic;
-	bytes = bytes_to_send(r, get);
+	bytes = bytes_to_send(r, get, &n);
 	if (get->topic == ADAPTER_OPERATORS)
 		most = get->takes_packed ? OPERATORS_MAX_BYTES
 					 : OPERATORS_UNPACKED_MAX_BYTES;
-	if (bytes > most)
+	if (bytes > most || n > FIG_RECORDS_MAX)
 		return 0;
 	if (!spread_take(&g->spread, host, r->next_position, bytes,
 			 gateway_now_us(g)))
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -501,6 +501,24 @@
 test_odd_entries_do_not_stop_a_host.domains = ("a",)
 
 
+# Guards against hosts that no longer follow the list of endpoints: keys count in a
+# message, too, and another writer left many long ones.
+async def test_follows_a_list_of_many_long_keys(d):
+    await start_small(d)
+    for i in range(5000):
+        d.store.put("keyed.servers", f"{i:05}" + "k" * 250, b"{")
+    leaving = d.endpoints[0]
+    d.store.put_json("keyed.servers", leaving.name, leaving.entry("draining"))
+    await asyncio.sleep(2)
+    for h in d.hosts:
+        assert (f"event=endpoint_leaves endpoint={leaving.name}" in h.log()
+                ), f"{h.name} does not follow the list"
+
+
+test_follows_a_list_of_many_long_keys.hosts = 6
+test_follows_a_list_of_many_long_keys.domains = ("a",)
+
+
 async def test_gets_a_configuration_from_another_host(d):
     await start_small(d)
     d.host_stores[0].mode = "refuse"
--- a/test/pools/standins.py
+++ b/test/pools/standins.py
@@ -218,10 +218,10 @@
             except asyncio.TimeoutError:
                 break
         records = self.streams.get(topic, [])
-        out = struct.pack(">QQ", len(records), first)
+        out = [struct.pack(">QQ", len(records), first)]
         for _, _, raw in records[start:]:
-            out += struct.pack(">I", len(raw)) + raw
-        return self.response(200, out)
+            out += [struct.pack(">I", len(raw)), raw]
+        return self.response(200, b"".join(out))
 
 
 class Endpoint(Server):
