ratelimit: whether a retry is available takes the time since the last one into account

A stream at a dead engine asks every 0.1 s whether it may resume elsewhere. With the retry budget used up it never could if its service got no other request: the budget gains tokens with time, but only deposits and retries counted them, and the stream, which used to ask for a retry itself, now only asks whether there is one. The time-out of idempotent requests asks the same.

--- a/cmd/figbend/gateway/plain.c
+++ b/cmd/figbend/gateway/plain.c
@@ -181,7 +181,8 @@
 	bool sent = h1_exchange_sent(&r->exchange);
 
 	/* Without a retry to use, the attempt goes on until the deadline. */
-	if (!ratelimit_retry_available(&r->g->retry_budgets, r->service->name))
+	if (!ratelimit_retry_available(&r->g->retry_budgets, r->service->name,
+				       r->g->fleet.hosts, gateway_now_us(r->g)))
 		return;
 	h1_exchange_cancel(&r->exchange);
 	attempt_failed(r, FLEET_TIMED_OUT, sent, "attempt timed out");
--- a/cmd/figbend/gateway/pools.c
+++ b/cmd/figbend/gateway/pools.c
@@ -720,8 +720,9 @@
 
 	if (!req_may_execute_again(r) ||
 	    r->executions + 1 >= r->route->attempts_max ||
-	    !ratelimit_retry_available(&r->g->retry_budgets,
-				       r->service->name) ||
+	    !ratelimit_retry_available(&r->g->retry_budgets, r->service->name,
+				       r->g->fleet.hosts,
+				       gateway_now_us(r->g)) ||
 	    crash_blocked_us(r->g, &r->call, r->account,
 			     &r->conn->request.body))
 		return false;
--- a/pkg/ratelimit/ratelimit.h
+++ b/pkg/ratelimit/ratelimit.h
@@ -134,9 +134,10 @@
 void ratelimit_retry_deposit(struct ratelimit_retry_budgets *b,
 			     const char *service, uint32_t hosts,
 			     int64_t now_us);
-/* Returns true if a retry is available, without refilling or consuming. */
+/* Returns true if ratelimit_retry_consume() would, without consuming. */
 bool ratelimit_retry_available(struct ratelimit_retry_budgets *b,
-			       const char *service);
+			       const char *service, uint32_t hosts,
+			       int64_t now_us);
 /* Consumes one retry. Returns false if the budget has none. */
 bool ratelimit_retry_consume(struct ratelimit_retry_budgets *b,
 			     const char *service, uint32_t hosts,
--- a/pkg/ratelimit/retry_budget.c
+++ b/pkg/ratelimit/retry_budget.c
@@ -82,9 +82,13 @@
 }
 
 bool ratelimit_retry_available(struct ratelimit_retry_budgets *b,
-			       const char *service)
+			       const char *service, uint32_t hosts,
+			       int64_t now_us)
 {
 	struct ratelimit_retry_budget *row = find(b, service);
 
-	return row && row->tokens >= 1;
+	if (!row)
+		return false;
+	refill(b, row, hosts, now_us);
+	return row->tokens >= 1;
 }
--- a/pkg/ratelimit/test/ratelimit_test.cc
+++ b/pkg/ratelimit/test/ratelimit_test.cc
@@ -168,6 +168,23 @@
 	EXPECT_GE(most, 20) << "retries are possible";
 }
 
+/* Guards against streams that stay at a dead engine: they ask again and again whether
+ * a retry is available, and nothing else refills the budget of a quiet service. */
+TEST(RetryBudget, IsAvailableAgainWithTimeAlone)
+{
+	static struct ratelimit_retry_budgets b;
+	int64_t now_us = S;
+
+	b.slack = 56;
+	b.window_s = 10;
+	while (ratelimit_retry_consume(&b, "s", 1, now_us))
+		;
+	EXPECT_FALSE(ratelimit_retry_available(&b, "s", 1, now_us));
+	now_us += 10 * S;
+	EXPECT_TRUE(ratelimit_retry_available(&b, "s", 1, now_us));
+	EXPECT_TRUE(ratelimit_retry_consume(&b, "s", 1, now_us));
+}
+
 /*
  * Guards against a budget that was saved up while nothing failed: with the part
  * of the window it exceeded the slack, 64 retries for a bound of 56.
