plain: a request stays at a silent endpoint unless another one can take it

Callers got 502 for idempotent requests while their endpoint was sound, but silent or slow for longer than three latency targets: 1.6 s after the request, with 3.4 s left.

Cause: the time-out asked only for a retry in the budget, and cancelled the request at its endpoint before anything said that another one may take it. With none, or with all others full, the request was then refused.

Change: the time-out moves a request only if another endpoint can take it now. Else this is asked again every 0.1 s while a retry has as much time as the time-out.

What remains: an endpoint that can take the request by all that is known may refuse it. The first attempt is lost then, in streams too.

--- a/cmd/figbend/gateway/plain.c
+++ b/cmd/figbend/gateway/plain.c
@@ -16,6 +16,8 @@
 /* An attempt of an idempotent request times out after this many latency targets
  * of its route. */
 #define ATTEMPT_TIMEOUT_TARGETS 3
+/* Time between checks whether another endpoint can take the request by then. */
+#define RETRY_CHECK_US 100000LL
 
 static void attempt_failed(struct req *r, enum fleet_outcome outcome,
 			   bool may_have_executed, const char *reason);
@@ -121,21 +123,32 @@
 	req_advance(r);
 }
 
-void plain_advance(struct req *r)
+static void fill_query(struct req *r, struct fleet_query *query)
 {
-	struct gateway *g = r->g;
-	struct fleet_query query = {
+	*query = (struct fleet_query){
 		.service = r->service->name,
 		.stage = FLEET_PLAIN,
 		.cold_requests_per_s = r->service->cold_requests_per_s,
 		.n_excluded = r->n_excluded,
 	};
-	int64_t now_us = gateway_now_us(g), timeout_us, may_wait_us;
+	memcpy(query->excluded, r->excluded, sizeof(query->excluded));
+	heartbeat_update_loads(r->g);
+}
+
+static int64_t attempt_timeout_us(const struct req *r)
+{
+	return ATTEMPT_TIMEOUT_TARGETS * 1000LL * r->route->target_latency_ms;
+}
+
+void plain_advance(struct req *r)
+{
+	struct gateway *g = r->g;
+	int64_t now_us = gateway_now_us(g), may_wait_us;
+	struct fleet_query query;
 	enum fleet_result result;
 	struct fleet_endpoint *e;
 
-	memcpy(query.excluded, r->excluded, sizeof(query.excluded));
-	heartbeat_update_loads(g);
+	fill_query(r, &query);
 	e = fleet_choose(&g->fleet, &query, now_us, &result);
 	/* An endpoint that failed once is better than none. */
 	if (!e && r->n_excluded) {
@@ -168,22 +181,23 @@
 		return;
 	}
 	/* A time-out helps only if a retry is allowed and has as much time. */
-	timeout_us =
-		ATTEMPT_TIMEOUT_TARGETS * 1000LL * r->route->target_latency_ms;
 	if (r->route->kind == CALL_IDEMPOTENT &&
 	    r->executions + 1 < r->route->attempts_max &&
-	    req_remaining_us(r) > 2 * timeout_us)
-		req_set_step_timer(r, timeout_us);
+	    req_remaining_us(r) > 2 * attempt_timeout_us(r))
+		req_set_step_timer(r, attempt_timeout_us(r));
 }
 
 void plain_timeout(struct req *r)
 {
 	bool sent = h1_exchange_sent(&r->exchange);
+	struct fleet_query query;
 
-	/* Without a retry to use, the attempt goes on until the deadline. */
-	if (!ratelimit_retry_available(&r->g->retry_budgets, r->service->name,
-				       r->g->fleet.hosts, gateway_now_us(r->g)))
+	fill_query(r, &query);
+	if (!req_may_move(r, &query)) {
+		if (req_remaining_us(r) > attempt_timeout_us(r))
+			req_set_step_timer(r, RETRY_CHECK_US);
 		return;
+	}
 	h1_exchange_cancel(&r->exchange);
 	attempt_failed(r, FLEET_TIMED_OUT, sent, "attempt timed out");
 }
--- a/cmd/figbend/gateway/pools.c
+++ b/cmd/figbend/gateway/pools.c
@@ -709,37 +709,17 @@
 		start_prefill(r);
 }
 
-/*
- * Returns true if a stream whose endpoint has timed out can go on at another one.
- * If it cannot, it stays: the endpoint may be only silent for a moment.
- */
-static bool may_move(struct req *r)
-{
-	struct fleet_query query;
-	enum fleet_result result;
-
-	if (!req_may_execute_again(r) ||
-	    r->executions + 1 >= r->route->attempts_max ||
-	    !ratelimit_retry_available(&r->g->retry_budgets, r->service->name,
-				       r->g->fleet.hosts,
-				       gateway_now_us(r->g)) ||
-	    crash_blocked_us(r->g, &r->call, r->account,
-			     &r->conn->request.body))
-		return false;
-	fill_query(r, &query);
-	if (query.n_excluded < REQ_EXCLUDED_MAX)
-		query.excluded[query.n_excluded++] = r->endpoint;
-	return fleet_choose(&r->g->fleet, &query, gateway_now_us(r->g),
-			    &result) != NULL;
-}
-
 void pools_timeout(struct req *r)
 {
 	bool sent = h1_exchange_sent(&r->exchange);
+	struct fleet_query query;
 
-	if (r->step == REQ_SENT && sent && !may_move(r)) {
-		req_set_step_timer(r, RESUME_CHECK_US);
-		return;
+	if (r->step == REQ_SENT && sent) {
+		fill_query(r, &query);
+		if (!req_may_move(r, &query)) {
+			req_set_step_timer(r, RESUME_CHECK_US);
+			return;
+		}
 	}
 	h1_exchange_cancel(&r->exchange);
 	switch (r->step) {
--- a/cmd/figbend/gateway/req.c
+++ b/cmd/figbend/gateway/req.c
@@ -45,6 +45,23 @@
 	return r->route->kind == CALL_STREAM && r->route->resumable;
 }
 
+bool req_may_move(struct req *r, struct fleet_query *query)
+{
+	struct gateway *g = r->g;
+	int64_t now_us = gateway_now_us(g);
+	enum fleet_result result;
+
+	if (!req_may_execute_again(r) ||
+	    r->executions + 1 >= r->route->attempts_max ||
+	    !ratelimit_retry_available(&g->retry_budgets, r->service->name,
+				       g->fleet.hosts, now_us) ||
+	    crash_blocked_us(g, &r->call, r->account, &r->conn->request.body))
+		return false;
+	if (query->n_excluded < REQ_EXCLUDED_MAX)
+		query->excluded[query->n_excluded++] = r->endpoint;
+	return fleet_choose(&g->fleet, query, now_us, &result) != NULL;
+}
+
 /* Returns true if an endpoint may have executed the request, or may yet. */
 static bool may_have_executed(const struct req *r)
 {
--- a/cmd/figbend/gateway/req.h
+++ b/cmd/figbend/gateway/req.h
@@ -154,6 +154,12 @@
  * resumable streams.
  */
 bool req_may_execute_again(const struct req *r);
+/*
+ * Returns true if a request that waits for its endpoint can go to another one now;
+ * query is that for an endpoint. If it cannot, it should stay: the endpoint may be
+ * only silent for a moment.
+ */
+bool req_may_move(struct req *r, struct fleet_query *query);
 /* Excludes an endpoint from later choices; the first REQ_EXCLUDED_MAX count. */
 void req_exclude_endpoint(struct req *r, const struct fleet_endpoint *e);
 /* Returns the microseconds until the deadline; negative once it has passed. */
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -298,6 +298,29 @@
 async def test_a_stream_moves_before_its_caller_leaves(d):
     rid = await check_patient_stream(d, silence_s=30)
     assert executions(d, rid) == 2, "did not move to the other endpoint"
+# Guards against requests that are refused or time out because a sound plain endpoint
+# is slow, and there is no other one.
+async def test_waits_for_a_slow_plain_endpoint_without_another_one(d):
+    d.publish_config()
+    await d.add_endpoint("plain", "a", work_s=4)
+    await d.start()
+    await d.wait_ready()
+    rid, r = await d.request("idempotent")
+    assert r.status == 200, r.status
+    assert executions(d, rid) == 1
+
+
+# The same if the other one takes no requests for a while.
+async def test_waits_for_a_slow_plain_endpoint_if_the_other_one_is_full(d):
+    d.publish_config()
+    full = await d.add_endpoint("plain", "a")
+    slow = await d.add_endpoint("plain", "b", work_s=2.5)
+    full.retry_after = "5"
+    await d.start()
+    await d.wait_ready()
+    rid, r = await d.request("idempotent")
+    assert r.status == 200, r.status
+    assert full.call_times and slow.executed == [rid], slow.executed
 
 
 async def test_passes_on_a_stream_of_a_comment(d):
