store_apply: a host that starts does not take the store for restored

An endpoint whose entry had been deleted, or could not be read, stayed in use for 1.1 s at hosts that had started within the last 2.5 s.

Cause: since "a host that starts drops what a restored store lacks" the first era that a stream sees sets the time to drop records, by which "an entry that expires as the store is restored removes nothing at once" told a restored store.

Change: a stream is restored only if it had been in an earlier era.

Before: ignores_unreadable_entries fails (1 of 1 run). After: it passes, and so do the eleven tests with restored stores, odd or missing entries (1 run each).

--- a/cmd/figbend/gateway/gateway.h
+++ b/cmd/figbend/gateway/gateway.h
@@ -57,6 +57,7 @@
 	uint64_t snapshot_end;
 	uint64_t from_position;
 	int64_t present_era; /* of the stream's next position; -1 if none */
+	bool restored; /* that is later than one before, until settle_us */
 	/* After a change of the era, when to drop the records that nobody wrote
 	 * again, and when to put those that are held into effect; 0 if done. */
 	int64_t settle_us;
--- a/cmd/figbend/gateway/store_apply.c
+++ b/cmd/figbend/gateway/store_apply.c
@@ -134,7 +134,9 @@
 {
 	const struct store_reader *sr = &g->reader[t];
 
-	return sr->settle_us || (int64_t)record_era(position) > sr->present_era;
+	return sr->restored ||
+	       (sr->present_era >= 0 &&
+		(int64_t)record_era(position) > sr->present_era);
 }
 
 /* See gateway.h. */
--- a/cmd/figbend/gateway/store_reader.c
+++ b/cmd/figbend/gateway/store_reader.c
@@ -137,7 +137,8 @@
 	host_record_renew(g, era);
 	/* A stream without a position may hold records of an earlier era, too: of
 	 * its first snapshot, or of a host that has not dropped them yet. */
-	if (before >= 0)
+	sr->restored = before >= 0;
+	if (sr->restored)
 		logline(LOG_WARNING, "store_restored",
 			"stream=%d era=%u before=%lld", sr->topic, era,
 			(long long)before);
@@ -181,6 +182,7 @@
 			sr->release_us = now_us + RELEASE_US;
 		if (sr->settle_us && now_us >= sr->settle_us) {
 			sr->settle_us = 0;
+			sr->restored = false;
 			records_settle(&g->records[t], on_lost_key, sr);
 		}
 		if (sr->release_us && now_us >= sr->release_us) {
