store_apply: entries that expired with the store show no crash

Callers saw: 503 "blocked" for a minute and longer, for a request whose connections broke at three endpoints shortly before the store was away. Cause: remove_endpoint() took the entry for lapsed, and confirmed the crash of its endpoint all the same; three confirmed breaks prove a block. Change: a lapsed entry confirms nothing. A connection that breaks at an endpoint whose entry lapsed is no longer a confirmed break from the start.

--- a/cmd/figbend/gateway/crash.c
+++ b/cmd/figbend/gateway/crash.c
@@ -172,7 +172,7 @@
 	brk.endpoint = r->endpoint->start_key;
 	brk.at_us = now_us;
 	/* The store may show the crash before the connection breaks. */
-	brk.confirmed = !r->endpoint->listed;
+	brk.confirmed = !r->endpoint->listed && !r->endpoint->lapsed;
 	poison_charge(&g->poison, key, n, &brk, now_us);
 	stats_add(&g->stats, STATS_CRASH_SUSPECTS, 1);
 	logline(LOG_WARNING, "answer_broken",
--- a/cmd/figbend/gateway/store_apply.c
+++ b/cmd/figbend/gateway/store_apply.c
@@ -159,8 +159,8 @@
 		  (store_was_unavailable(g, RECOVERY_US) ||
 		   store_was_restored(g, ADAPTER_ENDPOINTS, position));
 	/* An endpoint drains before it stops in order: without that, the loss
-	 * of its entry counts as a crash. */
-	if (!e->entry.draining)
+	 * of its entry counts as a crash, unless it could not renew it. */
+	if (!e->entry.draining && !expired)
 		crash_confirm(g, e);
 	logline(LOG_NOTICE, expired ? "endpoint_lapsed" : "endpoint_gone",
 		"endpoint=%s offset=%llu source=%s running=%u", id,
@@ -175,7 +175,7 @@
 			   const struct fleet_entry *entry, uint64_t position,
 			   const char *source)
 {
-	struct fleet_endpoint *e = fleet_find(&g->fleet, id);
+	struct fleet_endpoint *e = fleet_find(&g->fleet, id), *before;
 	bool known = e != NULL, was_draining = e && e->entry.draining;
 
 	if (!entry) {
@@ -183,8 +183,9 @@
 		return;
 	}
 	/* A new start time: the endpoint crashed and restarted. */
-	if (known && e->entry.started_ms != entry->started_ms)
-		crash_confirm(g, e);
+	before = known ? e : fleet_find_lapsed(&g->fleet, id);
+	if (before && before->entry.started_ms != entry->started_ms)
+		crash_confirm(g, before);
 	if (!fleet_upsert(&g->fleet, entry, position, gateway_now_us(g)))
 		return;
 	if (!known || was_draining != entry->draining)
--- a/pkg/fleet/fleet.c
+++ b/pkg/fleet/fleet.c
@@ -91,6 +91,16 @@
 	return NULL;
 }
 
+struct fleet_endpoint *fleet_find_lapsed(struct fleet *f, const char *id)
+{
+	struct fleet_endpoint *e;
+
+	TAILQ_FOREACH_REVERSE(e, &f->removed, fleet_endpoints, link)
+	if (strcmp(e->entry.id, id) == 0)
+		return e->lapsed ? e : NULL;
+	return NULL;
+}
+
 struct fleet_endpoint *fleet_find_start(struct fleet *f, uint64_t start_key)
 {
 	struct fleet_endpoint *e;
@@ -177,6 +187,7 @@
 	e->start_key = hash_start(entry);
 	e->offset = offset;
 	e->remove_at_us = 0;
+	e->lapsed = false;
 	if (entry->cold_remaining_ms)
 		e->cold_until_us = now_us + entry->cold_remaining_ms * 1000LL;
 	return e;
@@ -214,6 +225,7 @@
 	if (!e || offset < e->offset)
 		return;
 	e->offset = offset;
+	e->lapsed = at_us > now_us;
 	if (at_us <= now_us)
 		move_to_removed(f, e, now_us);
 	else if (!e->remove_at_us)
--- a/pkg/fleet/fleet.h
+++ b/pkg/fleet/fleet.h
@@ -85,6 +85,7 @@
 	bool listed;	      /* in the table, not among the removed ones */
 	int64_t removed_us;   /* when it was removed */
 	int64_t remove_at_us; /* when to remove it, 0 if not scheduled */
+	bool lapsed;	      /* its removal was or is scheduled */
 	uint64_t offset;      /* store offset of the last record applied */
 
 	/* Requests of this host. */
@@ -188,6 +189,11 @@
 void fleet_finish(struct fleet *f);
 /* Returns the listed endpoint with this id, or NULL. */
 struct fleet_endpoint *fleet_find(struct fleet *f, const char *id);
+/*
+ * Returns the endpoint with this id that was removed last, if its removal was a
+ * scheduled one, else NULL.
+ */
+struct fleet_endpoint *fleet_find_lapsed(struct fleet *f, const char *id);
 /* Returns the listed endpoint with this start_key, or NULL. */
 struct fleet_endpoint *fleet_find_start(struct fleet *f, uint64_t start_key);
 /*
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -1337,6 +1337,59 @@
         assert (await d.request("idempotent", host=n % 2))[1].status == 200
 
 
+async def break_and_lose_the_store(d, restarted):
+    """Breaks the connections of one request at three endpoints, whose entries then
+    expire while the store is away and return. Returns the status of the same
+    request once a block without proof has ended."""
+    await d.add_endpoint("plain", "a")
+    await start_small(d)
+    for e in plain_endpoints(d):
+        e.faults = ["reset"] * 9
+    for _ in range(10):
+        if not all(e.executed for e in plain_endpoints(d)):
+            await d.request("idempotent", body=b"unlucky")
+            await asyncio.sleep(0.05)
+    assert all(e.executed for e in plain_endpoints(d))
+    for e in plain_endpoints(d):
+        e.faults = []
+    await asyncio.sleep(0.5)
+    assert "event=blocked" in d.hosts[0].log()
+    end = time.monotonic() + 9.5
+    for s in d.host_stores:
+        await s.stop()
+    await asyncio.sleep(1)
+    for e in plain_endpoints(d):
+        d.store.put("keyed.servers", e.name, None)
+    for s in d.host_stores:
+        await s.start()
+    await asyncio.sleep(2)
+    for e in plain_endpoints(d):
+        e.started_ms += 5000 if restarted else 0
+        d.store.put_json("keyed.servers", e.name, e.entry())
+    await asyncio.sleep(end - time.monotonic())
+    assert (await d.request("idempotent"))[1].status == 200
+    return (await d.request("idempotent", body=b"unlucky"))[1].status
+
+
+async def test_entries_that_expire_with_the_store_show_no_crash(d):
+    """Guards against a request that is blocked for a minute, since its endpoints
+    could not renew their entries and so counted as crashed."""
+    assert await break_and_lose_the_store(d, restarted=False) == 200
+    assert "event=endpoint_crashed" not in d.hosts[0].log()
+
+
+test_entries_that_expire_with_the_store_show_no_crash.hosts = 1
+
+
+async def test_entries_of_a_new_start_after_the_store_show_crashes(d):
+    """The entries expired with the store, and the endpoints did restart."""
+    assert await break_and_lose_the_store(d, restarted=True) == 503
+    assert "event=endpoint_crashed" in d.hosts[0].log()
+
+
+test_entries_of_a_new_start_after_the_store_show_crashes.hosts = 1
+
+
 def decode_endpoints(d):
     return [e for e in d.endpoints if e.stage == "decode"]
 
