pools: a reservation that the decode request used is not released

Callers saw: nothing. Engines got a call for nothing for each stream whose caller left. Cause: the reservation was forgotten when the exchange ended, but a caller that disconnects, and a stream that is given up, cancel the exchange. Change: what the decode request carries is forgotten if it was sent, before the exchange is cancelled.

--- a/cmd/figbend/gateway/pools.c
+++ b/cmd/figbend/gateway/pools.c
@@ -73,8 +73,17 @@
 	r->reservation[0] = '\0';
 }
 
+/* The endpoint that got the decode request owns both from then on. */
+static void forget_sent(struct req *r)
+{
+	r->reservation[0] = '\0';
+	r->prefill_handle[0] = '\0';
+}
+
 void pools_release(struct req *r)
 {
+	if (r->step == REQ_SENT && h1_exchange_sent(&r->exchange))
+		forget_sent(r);
 	release_reservation(r);
 	if (r->prefill_handle[0] && r->prefill_endpoint) {
 		stats_add(&r->g->stats, STATS_PREFILLS_WASTED, 1);
@@ -393,6 +402,7 @@
 {
 	h1_exchange_cancel(&r->exchange);
 	req_set_step_timer(r, 0);
+	forget_sent(r);
 	decode_failed(r, FLEET_FAILED, true, reason);
 }
 
--- a/cmd/figbend/gateway/req.c
+++ b/cmd/figbend/gateway/req.c
@@ -97,8 +97,8 @@
 {
 	struct gateway *g = r->g;
 
-	h1_exchange_cancel(&r->exchange);
 	pools_release(r);
+	h1_exchange_cancel(&r->exchange);
 	req_detach_endpoint(r);
 	fleet_unref(r->prefill_endpoint);
 	ev_timer_stop(g->loop, &r->deadline_timer);
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -442,6 +442,23 @@
                 not e.handles, e.name
 
 
+async def test_releases_no_reservation_after_its_use(d):
+    """Guards against calls for nothing: the decode request uses its reservation, so
+    it is not released when the caller disconnects within the stream."""
+    await start_small(d)
+    for _ in range(3):
+        _, raw = d.request_bytes("stream", tokens=(300, 800))
+        reader, writer = await asyncio.open_connection(d.hosts[0].ip,
+                                                       CALLERS_PORT)
+        writer.write(raw)
+        await reader.readuntil(b"id: 3\n")
+        writer.transport.abort()
+    await asyncio.sleep(0.5)
+    assert sum(len(e.used) for e in d.endpoints if e.stage == "decode") >= 3
+    for e in d.endpoints:
+        assert not e.released_after_use, e.name
+
+
 async def test_sends_nothing_to_a_draining_endpoint(d):
     await start_small(d)
     e = plain_endpoints(d)[0]
--- a/test/pools/standins.py
+++ b/test/pools/standins.py
@@ -284,6 +284,8 @@
         self.executed = []  # ids of requests whose execution started
         self.completed = []  # ids of requests with a complete response
         self.reservations = {}  # id: (tokens, monotonic time of expiry)
+        self.used = set()  # ids of reservations that requests have used
+        self.released_after_use = []  # ids
         self.handles = {}  # prefill handle: request id
         self.running = {}  # request id: KV tokens
 
@@ -345,7 +347,10 @@
         if target == "/figbend/hold-take":
             return self.reserve(writer, json.loads(body))
         if target.startswith("/figbend/hold-drop/"):
-            self.reservations.pop(target.rsplit("/", 1)[1], None)
+            reservation = target.rsplit("/", 1)[1]
+            self.reservations.pop(reservation, None)
+            if reservation in self.used:
+                self.released_after_use.append(reservation)
             writer.write(self.http_response(200))
             return True
         if target.startswith("/figbend/kv-handle/"):
@@ -371,6 +376,7 @@
         rid = headers.get("attempt-id", "")
         fault = self.next_fault()
         self.received.append((rid, headers, target, body, fault))
+        self.used.add(headers.get("kv-hold", ""))
         identity = {"Attempt-Id": rid,
                     "Instance-Signature": f"{self.name}.{rid}",
                     "Instance-Load": f"{len(self.running)},0,{self.slots}"}
