pools: a prefill result goes to the next engine if the first cannot be reached

Callers saw: a later first event: when the decode engine had gone by the end of the prefill, the next one processed the whole prompt again. The result stayed in the prefill engine's memory until it expired there. Cause: reservation and handle were forgotten before it was known whether the decode request had been sent. Change: both are forgotten when the request was sent. If it was not, the reservation is released and the next engine imports the result; the prompt then counts as processed in vain only if nothing imports it.

--- a/cmd/figbend/gateway/pools.c
+++ b/cmd/figbend/gateway/pools.c
@@ -97,11 +97,14 @@
 	r->prefill_counted = false;
 }
 
-/* Leaves the decode endpoint and chooses another. */
+/*
+ * Leaves the decode endpoint and chooses another, which can import the prefill
+ * result if the decode request was not sent.
+ */
 static void choose_again(struct req *r)
 {
 	req_set_step_timer(r, 0);
-	pools_release(r);
+	release_reservation(r);
 	req_detach_endpoint(r);
 	req_advance(r);
 }
@@ -369,7 +372,8 @@
 	int64_t now_us = gateway_now_us(r->g);
 
 	log_step_failed(r, r->endpoint, "decode", reason);
-	req_waste_prompt(r, causes[outcome]);
+	if (!r->prefill_handle[0])
+		req_waste_prompt(r, causes[outcome]);
 	fleet_record_outcome(r->endpoint, outcome, now_us - r->sent_us, now_us);
 	sse_drop_partial(&r->events);
 	req_drop_response(r);
@@ -590,7 +594,8 @@
 	int64_t now_us = gateway_now_us(r->g);
 
 	req_set_step_timer(r, 0);
-	r->reservation[0] = '\0';
+	if (outcome != H1_NOT_SENT)
+		forget_sent(r);
 	if (outcome == H1_NOT_SENT) {
 		decode_failed(r, FLEET_CONNECT_FAILED, false, reason);
 	} else if (outcome != H1_COMPLETE) {
@@ -635,20 +640,15 @@
 		return;
 	if (!fleet_is_usable(&r->g->fleet, r->endpoint) ||
 	    fleet_is_unwanted(r->endpoint, gateway_now_us(r->g))) {
-		/* The next decode endpoint can import the prefill result. */
 		log_step_failed(r, r->endpoint, "decode",
 				"endpoint no longer accepts requests");
-		release_reservation(r);
-		req_detach_endpoint(r);
-		req_advance(r);
+		choose_again(r);
 		return;
 	}
 	r->step = REQ_SENT;
 	error = req_send(r, r->endpoint,
 			 has_prefill_result ? CALL_DECODE : CALL_FULL,
 			 &decode_handlers);
-	/* The decode endpoint owns the prefill result from here on. */
-	r->prefill_handle[0] = '\0';
 	if (error < 0)
 		decode_failed(r, FLEET_CONNECT_FAILED, false,
 			      "cannot open a socket");
@@ -740,7 +740,8 @@
 		prefill_failed(r, FLEET_TIMED_OUT, "prefill timed out");
 		break;
 	case REQ_SENT:
-		r->reservation[0] = '\0';
+		if (sent)
+			forget_sent(r);
 		decode_failed(r, FLEET_TIMED_OUT, sent,
 			      "no event within the timeout");
 		break;
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -459,6 +459,31 @@
         assert not e.released_after_use, e.name
 
 
+async def test_keeps_a_prefill_result_that_was_not_sent(d):
+    """Guards against a prompt processed in vain, and its result left at the engine
+    that processed it: the decode endpoint is gone when the prefill ends, so the next
+    one gets the result."""
+    d.publish_config()
+    prefill = await d.add_endpoint("model", "a", "prefill", work_s=0.4)
+    for domain in "ab":
+        await d.add_endpoint("model", domain, "decode")
+    await d.start()
+    await d.wait_ready()
+    request = asyncio.ensure_future(d.request("stream", tokens=(300, 80)))
+    await asyncio.sleep(0.2)
+    gone = [e for e in d.endpoints if e.reservations]
+    assert len(gone) == 1, gone
+    await gone[0].stop()
+    rid, r = await request
+    assert (r.status, r.complete) == (200, True), r.status
+    received = [h for e in d.endpoints if e.stage == "decode"
+                for _, h, _, _, _ in e.received]
+    assert ["kv-source" in h for h in received] == [True], received
+    await asyncio.sleep(0.3)
+    assert not prefill.handles
+    assert len(prefill.received) == 1
+
+
 async def test_sends_nothing_to_a_draining_endpoint(d):
     await start_small(d)
     e = plain_endpoints(d)[0]
