pools: a wait is observed once

figbend_wait_seconds counted a request that had waited again each time that it moved to another engine, with the time since it was first queued. Cause: the start of the wait was kept after the wait had been observed. Evidence: counts_a_wait_once failed in 2 of 2 runs before (2 waits in place of 1) and passes in 3 of 3 after. Change: the start is reset; a second wait counts from its own start.

--- a/cmd/figbend/gateway/pools.c
+++ b/cmd/figbend/gateway/pools.c
@@ -708,6 +708,7 @@
 	if (r->wait_start_us)
 		stats_observe(&g->stats, STATS_WAIT_S,
 			      now_us - r->wait_start_us);
+	r->wait_start_us = 0;
 	r->endpoint = fleet_ref(e);
 	r->counted_tokens = query.kv_tokens;
 	r->counted = true;
--- a/cmd/figbend/gateway/req.h
+++ b/cmd/figbend/gateway/req.h
@@ -40,7 +40,7 @@
 	ev_timer step_timer; /* timeout of the current step */
 	enum req_step step;
 	bool is_waiting;       /* on the gateway's waiting list */
-	int64_t wait_start_us; /* first time it was queued; 0 if never */
+	int64_t wait_start_us; /* start of the present wait; 0 if none */
 	double estimated_work; /* KV tokens times output tokens; 0 if plain */
 
 	struct h1_exchange exchange;	 /* with an endpoint; one at a time */
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -484,6 +484,29 @@
     assert len(prefill.received) == 1
 
 
+async def test_counts_a_wait_once(d):
+    """Guards against a wait that is counted again when the request moves to another
+    engine without waiting."""
+    d.publish_config()
+    await d.add_endpoint("model", "a", "prefill", work_s=0.3)
+    for domain in "ab":
+        await d.add_endpoint("model", domain, "decode")
+    await d.start()
+    await d.wait_ready()
+    for e in decode_endpoints(d):
+        e.holds_to_refuse = 1
+    request = asyncio.ensure_future(d.request("resumable", tokens=(300, 80)))
+    await asyncio.sleep(0.25)
+    chosen = [e for e in decode_endpoints(d) if e.reservations]
+    assert len(chosen) == 1, chosen
+    chosen[0].faults = ["reset"]
+    rid, r = await request
+    assert (r.status, r.complete) == (200, True), r.status
+    assert chosen[0].executed == [rid]
+    body = await metrics_page(d, b"/metrics")
+    assert "figbend_wait_seconds_count 1\n" in body, body
+
+
 async def test_sends_nothing_to_a_draining_endpoint(d):
     await start_small(d)
     e = plain_endpoints(d)[0]
