req: the endpoints that a request excludes are references

Callers saw: 502 for a resumable stream whose only engine had restarted and was free, after 2 s of waiting. Cause: the addresses of excluded endpoints were kept without references. The old one was freed when its entry named a new start, and the new one got its address. Change: a reference for each.

--- a/cmd/figbend/gateway/req.c
+++ b/cmd/figbend/gateway/req.c
@@ -69,10 +69,10 @@
 	       (r->step == REQ_SENT && h1_exchange_sent(&r->exchange));
 }
 
-void req_exclude_endpoint(struct req *r, const struct fleet_endpoint *e)
+void req_exclude_endpoint(struct req *r, struct fleet_endpoint *e)
 {
 	if (r->n_excluded < REQ_EXCLUDED_MAX)
-		r->excluded[r->n_excluded++] = e;
+		r->excluded[r->n_excluded++] = fleet_ref(e);
 }
 
 void req_set_step_timer(struct req *r, int64_t after_us)
@@ -96,11 +96,14 @@
 void req_free(struct req *r)
 {
 	struct gateway *g = r->g;
+	uint32_t i;
 
 	pools_release(r);
 	h1_exchange_cancel(&r->exchange);
 	req_detach_endpoint(r);
 	fleet_unref(r->prefill_endpoint);
+	for (i = 0; i < r->n_excluded; i++)
+		fleet_unref(r->excluded[i]);
 	ev_timer_stop(g->loop, &r->deadline_timer);
 	ev_timer_stop(g->loop, &r->step_timer);
 	if (r->is_waiting) {
--- a/cmd/figbend/gateway/req.h
+++ b/cmd/figbend/gateway/req.h
@@ -65,8 +65,8 @@
 	uint32_t wasted_tokens; /* of prompts processed in vain */
 	const char *wasted_by;	/* the last cause, or NULL */
 	double retry_after_s;	/* of a refusal; 0 for the default */
-	/* Endpoints not to choose again: addresses only, no references. */
-	const struct fleet_endpoint *excluded[REQ_EXCLUDED_MAX];
+	/* Endpoints not to choose again; references. */
+	struct fleet_endpoint *excluded[REQ_EXCLUDED_MAX];
 	uint32_t n_excluded;
 
 	/* Response of the latest exchange. */
@@ -161,7 +161,7 @@
  */
 bool req_may_move(struct req *r, struct fleet_query *query);
 /* Excludes an endpoint from later choices; the first REQ_EXCLUDED_MAX count. */
-void req_exclude_endpoint(struct req *r, const struct fleet_endpoint *e);
+void req_exclude_endpoint(struct req *r, struct fleet_endpoint *e);
 /* Returns the microseconds until the deadline; negative once it has passed. */
 int64_t req_remaining_us(const struct req *r);
 /* Restarts the step timer, or only stops it if after_us is 0 or less. */
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -507,6 +507,27 @@
     assert "figbend_wait_seconds_count 1\n" in body, body
 
 
+async def test_chooses_an_endpoint_that_restarted(d):
+    """Guards against a restarted endpoint that is taken for the one that failed,
+    since it has its address in memory."""
+    await start_with_decoders(d, 1)
+    e = decode_endpoints(d)[0]
+    # The allocator keeps the first few that were freed.
+    for n in range(12):
+        e.started_ms += 1000
+        d.store.put_json("keyed.servers", e.name, e.entry())
+        await asyncio.sleep(0.25)
+    for n in range(5):
+        e.faults = ["reset"]
+        request = asyncio.ensure_future(
+            d.request("resumable", tokens=(300, 80)))
+        await asyncio.sleep(0.15)
+        e.started_ms += 1000
+        d.store.put_json("keyed.servers", e.name, e.entry())
+        rid, r = await request
+        assert (r.status, r.complete) == (200, True), (n, r.status)
+
+
 async def test_sends_nothing_to_a_draining_endpoint(d):
     await start_small(d)
     e = plain_endpoints(d)[0]
