--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -528,6 +528,21 @@
         assert (r.status, r.complete) == (200, True), (n, r.status)
 
 
+async def test_ejects_an_engine_whose_streams_end_within_an_event(d):
+    """Guards against a stream that counts as a success and as a failure: its engine
+    is then never ejected."""
+    await start_with_decoders(d, 1)
+    bad = decode_endpoints(d)[0]
+    bad.faults = ["until_close_truncate_event"] * 10
+    for n in range(3):
+        rid, r = await d.request("stream", tokens=(300, 80))
+        assert not r.complete, n
+    assert len(bad.executed) == 3
+    rid, r = await d.request("stream", tokens=(300, 80), deadline_ms=500)
+    assert r.status == 503, r.status
+    assert len(bad.executed) == 3, "not ejected"
+
+
 async def test_sends_nothing_to_a_draining_endpoint(d):
     await start_small(d)
     e = plain_endpoints(d)[0]
