member: the end of the log that was read before a pause confirms nothing

A host that resumes after a pause counted its epoch as current if the first event was the end of the log, as an answer that was queued before or in the pause told it. It may have been removed since, and acts on its old epoch until the next answer: it lends tokens and grants capacity. Cause: member_step() found the pause, cleared "current" and then handled the event, which set it again. Change: the end of the log is ignored if it is the event that ends a pause; the log is read anew at that moment.

--- a/pkg/member/core.c
+++ b/pkg/member/core.c
@@ -320,31 +320,34 @@
 }
 
 /*
- * Detects that this process was paused. The epoch is not current from then on,
- * until the log is read to its end, a newer epoch is fetched or other hosts
- * confirm it.
+ * Returns true if this process was paused until now. The epoch is not current
+ * from then on, until the log is read to its end, a newer epoch is fetched or
+ * other hosts confirm it.
  */
-static void detect_pause(struct member_core *c, int64_t now_us,
+static bool detect_pause(struct member_core *c, int64_t now_us,
 			 struct member_actions *out)
 {
 	bool paused = now_us - c->last_step_us >= pause_threshold_us(c);
 
 	c->last_step_us = now_us;
 	if (!paused)
-		return;
+		return false;
 	c->resumed_us = now_us;
 	c->current = false;
 	c->log_caught_up = false;
 	memset(c->confirmed_by, 0, sizeof(c->confirmed_by));
 	member_detector_reset(c, now_us);
 	member_add_action(out, MEMBER_ACT_REREAD_LOG);
+	return true;
 }
 
 void member_step(struct member_core *c, const struct member_event *ev,
 		 int64_t now_us, struct member_actions *out)
 {
+	bool resumes;
+
 	out->n = 0;
-	detect_pause(c, now_us, out);
+	resumes = detect_pause(c, now_us, out);
 	switch (ev->kind) {
 	case MEMBER_EV_TICK:
 		tick(c, now_us, out);
@@ -353,7 +356,9 @@
 		on_record(c, ev, now_us, out);
 		break;
 	case MEMBER_EV_TAIL:
-		on_tail(c, ev->record.first);
+		/* The event that ends a pause may have been queued in it. */
+		if (!resumes)
+			on_tail(c, ev->record.first);
 		break;
 	case MEMBER_EV_LOG_DOWN:
 		c->log_caught_up = false;
--- a/pkg/member/test/agreement_test.cc
+++ b/pkg/member/test/agreement_test.cc
@@ -448,6 +448,29 @@
 	EXPECT_TRUE(sim.IsCurrent(h));
 }
 
+/* Guards against a host that acts on an epoch of which it was removed: the first
+ * event after its pause is the end of the log, as it was read before the pause. */
+TEST(Agreement, EndOfTheLogThatWasReadBeforeAPauseDoesNotConfirm)
+{
+	Simulation sim(6);
+	struct member_event ev = {};
+	Host *h;
+
+	sim.StartCluster(4, 2);
+	h = sim.Find("a2");
+	ASSERT_TRUE(sim.IsCurrent(h));
+	sim.log_up = false;
+	h->paused_until = sim.now + 30 * kS;
+	sim.Run(29 * kS);
+	ev.kind = MEMBER_EV_TAIL;
+	ev.record.first = 1;
+	sim.Step(h, ev);
+	EXPECT_FALSE(sim.IsCurrent(h));
+	/* The end of the log that is read after the pause does. */
+	sim.Step(h, ev);
+	EXPECT_TRUE(sim.IsCurrent(h));
+}
+
 TEST(Agreement, DomainConfirmsTheEpochAfterAPauseWithoutTheLog)
 {
 	Simulation sim(5);
