request: output with a gap is retried within the retry budget only

Callers saw: nothing. An engine that leaves tokens out, or ends before the output it announced, had each of its requests sent again, whatever the account's retry budget. Cause: request_step() allowed the retry itself. The daemon's part, to ask the budget, has no test of its own. Change: both events say whether the budget allows a retry; the daemon takes it from the budget if there is a gap. The existing tests pass "allowed" now.

--- a/cmd/figbend/serving.c
+++ b/cmd/figbend/serving.c
@@ -203,6 +203,34 @@
 		send_output(s);
 }
 
+/*
+ * Returns true if the failed step may be resumed or retried. A retry is taken
+ * from the retry budget; resuming needs none.
+ */
+static bool consume_retry(struct serving *s, enum request_fault f)
+{
+	struct board *b = &s->daemon->board;
+
+	if (request_can_resume(&s->request, f))
+		return true;
+	if (s->request.attempt >= s->request.policy.attempts_max)
+		return false;
+	if (retry_consume(&b->retry_budgets, s->request.account))
+		return true;
+	metrics_add(&b->metrics, METRIC_RETRIES_DENIED, 1);
+	return false;
+}
+
+/*
+ * Returns true if the attempt may be retried after output with a gap, by the
+ * retry budget, from which the retry is taken.
+ */
+static bool consume_retry_after_gap(struct serving *s, bool gap)
+{
+	return gap && s->request.state == REQUEST_DECODING &&
+	       consume_retry(s, REQUEST_FAULT_BAD_RESPONSE);
+}
+
 void serving_on_tokens_granted(struct serving *s)
 {
 	struct request_event ev = {.kind = REQUEST_EV_ENDED,
@@ -213,6 +241,8 @@
 	if (s->end_pending && s->request.state != REQUEST_DONE) {
 		s->end_pending = false;
 		ev.ended.tokens = s->end_pending_tokens;
+		ev.ended.retry_allowed = consume_retry_after_gap(
+			s, ev.ended.tokens != s->request.sent_tokens);
 		serving_event(s, &ev);
 	}
 	serving_put(s);
@@ -406,24 +436,6 @@
 		f == ENGINE_EXPIRED);
 }
 
-/*
- * Returns true if the failed step may be resumed or retried. A retry is taken
- * from the retry budget; resuming needs none.
- */
-static bool consume_retry(struct serving *s, enum request_fault f)
-{
-	struct board *b = &s->daemon->board;
-
-	if (request_can_resume(&s->request, f))
-		return true;
-	if (s->request.attempt >= s->request.policy.attempts_max)
-		return false;
-	if (retry_consume(&b->retry_budgets, s->request.account))
-		return true;
-	metrics_add(&b->metrics, METRIC_RETRIES_DENIED, 1);
-	return false;
-}
-
 static void on_engine_failed(struct serving *s, const struct engine_call *c,
 			     const struct engine_event *ev,
 			     struct request_event *out)
@@ -476,6 +488,8 @@
 		out.kind = REQUEST_EV_TOKENS;
 		out.tokens.position = ev->token.position;
 		out.tokens.n = 1;
+		out.tokens.retry_allowed = consume_retry_after_gap(
+			s, ev->token.position > s->request.sent_tokens);
 		s->token_text = ev->token.text;
 		break;
 	case ENGINE_EV_ENDED:
@@ -488,6 +502,8 @@
 			s->end_pending_tokens = ev->ended.tokens;
 			return;
 		}
+		out.ended.retry_allowed = consume_retry_after_gap(
+			s, ev->ended.tokens != s->request.sent_tokens);
 		break;
 	case ENGINE_EV_FAILED:
 		on_engine_failed(s, c, ev, &out);
--- a/pkg/request/request.c
+++ b/pkg/request/request.c
@@ -198,7 +198,7 @@
 
 	if (ev->tokens.position > r->sent_tokens) {
 		ev_failed.failed.fault = REQUEST_FAULT_BAD_RESPONSE;
-		ev_failed.failed.retry_allowed = true;
+		ev_failed.failed.retry_allowed = ev->tokens.retry_allowed;
 		on_failed(r, &ev_failed, out);
 		return;
 	}
@@ -226,7 +226,7 @@
 
 	if (ev->ended.tokens != r->sent_tokens) {
 		ev_failed.failed.fault = REQUEST_FAULT_BAD_RESPONSE;
-		ev_failed.failed.retry_allowed = true;
+		ev_failed.failed.retry_allowed = ev->ended.retry_allowed;
 		on_failed(r, &ev_failed, out);
 		return;
 	}
--- a/pkg/request/request.h
+++ b/pkg/request/request.h
@@ -144,9 +144,13 @@
 		struct {
 			uint32_t position; /* of the first token, from 0 */
 			uint32_t n;
+			/* By the retry budget; needed after a gap. */
+			bool retry_allowed;
 		} tokens;
 		struct {
 			uint32_t tokens; /* length of the complete output */
+			/* By the retry budget; needed if it is incomplete. */
+			bool retry_allowed;
 		} ended;
 		struct {
 			enum request_fault fault;
--- a/pkg/request/test/request_property_test.cc
+++ b/pkg/request/test/request_property_test.cc
@@ -189,6 +189,7 @@
 		ev.tokens.position = r.sent_tokens - back;
 		if (Chance(4))
 			ev.tokens.position += 2;
+		ev.tokens.retry_allowed = Chance(80);
 		if (ev.tokens.position >= resources.length)
 			return Ended();
 		ev.tokens.n =
@@ -202,6 +203,7 @@
 
 		ev.kind = REQUEST_EV_ENDED;
 		ev.ended.tokens = resources.length;
+		ev.ended.retry_allowed = Chance(80);
 		Send(ev);
 	}
 
--- a/pkg/request/test/request_test.cc
+++ b/pkg/request/test/request_test.cc
@@ -46,22 +46,24 @@
 		return Step(ev);
 	}
 
-	int Tokens(uint32_t position, uint32_t n)
+	int Tokens(uint32_t position, uint32_t n, bool retry_allowed = true)
 	{
 		struct request_event ev = {};
 
 		ev.kind = REQUEST_EV_TOKENS;
 		ev.tokens.position = position;
 		ev.tokens.n = n;
+		ev.tokens.retry_allowed = retry_allowed;
 		return Step(ev);
 	}
 
-	int Ended(uint32_t tokens)
+	int Ended(uint32_t tokens, bool retry_allowed = true)
 	{
 		struct request_event ev = {};
 
 		ev.kind = REQUEST_EV_ENDED;
 		ev.ended.tokens = tokens;
+		ev.ended.retry_allowed = retry_allowed;
 		return Step(ev);
 	}
 
@@ -152,6 +154,27 @@
 	EXPECT_TRUE(Has(REQUEST_DO_RESERVE));
 }
 
+/* Guards against retries beyond the retry budget. */
+TEST_F(Request, OutputWithAGapIsNotRetriedWithoutTheBudget)
+{
+	AdvanceToDecoding();
+	Tokens(0, 1);
+	Tokens(2, 1, false);
+	EXPECT_TRUE(Has(REQUEST_DO_ABORT));
+	EXPECT_EQ(1u, r.attempt);
+	EXPECT_EQ(REQUEST_DONE, r.state);
+}
+
+TEST_F(Request, IncompleteOutputIsNotRetriedWithoutTheBudget)
+{
+	AdvanceToDecoding();
+	Tokens(0, 3);
+	Ended(5, false);
+	EXPECT_TRUE(Has(REQUEST_DO_ABORT));
+	EXPECT_EQ(1u, r.attempt);
+	EXPECT_EQ(REQUEST_DONE, r.state);
+}
+
 TEST_F(Request, RetryExcludesTheFailedEndpoint)
 {
 	AdvanceToDecoding();
