admit: a new owner adopts all grants of the previous one

If the declared slots were lowered while an endpoint changed its owner, the new owner dropped the grants beyond its slots. Their runs, if they had not begun, were in no load report either, so slots were granted that they use. Cause: admit_alloc_adopt() stopped at the number of slots. Change: the list grows. If memory is short, the grants count as unknown, and the new owner waits for their expiry.

--- a/pkg/admit/alloc.c
+++ b/pkg/admit/alloc.c
@@ -108,6 +108,20 @@
 		now_us + ADMIT_START_TIMEOUT_US + ADMIT_DELIVERY_MAX_US;
 }
 
+/* Makes room for n grants, also above the slots. */
+static int ensure_grants(struct admit_allocator *al, uint32_t n)
+{
+	struct admit_grant *p;
+
+	if (n <= al->slots)
+		return 0;
+	p = realloc(al->grant, (n + 1) * sizeof(*p));
+	if (!p)
+		return -ENOMEM;
+	al->grant = p;
+	return 0;
+}
+
 void admit_alloc_adopt(struct admit_allocator *al,
 		       const struct admit_handover *h, int64_t now_us)
 {
@@ -115,7 +129,12 @@
 
 	if (al->state != ADMIT_HANDOVER)
 		return;
-	for (i = 0; i < h->grant_n && al->grant_n < al->slots; i++) {
+	if (ensure_grants(al, h->grant_n) < 0) {
+		admit_alloc_await_expiry(al, now_us);
+		return;
+	}
+	/* The slots may have been lowered since they were granted. */
+	for (i = 0; i < h->grant_n; i++) {
 		al->grant[al->grant_n] = h->grant[i];
 		al->grant[al->grant_n++].granted_us = now_us;
 	}
--- a/pkg/admit/test/admit_alloc_test.cc
+++ b/pkg/admit/test/admit_alloc_test.cc
@@ -197,6 +197,32 @@
 	EXPECT_EQ(ADMIT_GRANTED, request("b", 65 * S));
 }
 
+/* Guards against granting slots again that runs of the previous owner use: it had
+ * granted more than are declared now. */
+TEST_F(Allocator, NewOwnerAdoptsGrantsBeyondItsSlots)
+{
+	struct admit_grant g[30] = {};
+	struct admit_handover h = {};
+
+	for (int i = 0; i < 30; i++) {
+		snprintf(g[i].run, sizeof(g[i].run), "old%d", i);
+		g[i].start_deadline_us = 62 * S;
+	}
+	admit_alloc_take_over(&al, 2, 0);
+	apply_report(60 * S, {});
+	h.grant = g;
+	h.grant_n = 30;
+	h.window = 16;
+	admit_alloc_adopt(&al, &h, 60 * S);
+	EXPECT_EQ(30u, al.grant_n);
+	for (int i = 0; i < 14; i++)
+		admit_alloc_release(&al, g[i].run, 0, ADMIT_END_COMPLETE,
+				    60 * S);
+	EXPECT_EQ(ADMIT_FULL, request("a", 60 * S));
+	admit_alloc_release(&al, g[14].run, 0, ADMIT_END_COMPLETE, 60 * S);
+	EXPECT_EQ(ADMIT_GRANTED, request("a", 60 * S));
+}
+
 TEST_F(Allocator, WindowGrowsOnCompletionAndShrinksOnFailureColdOrRestart)
 {
 	activate();
