admit: an endpoint that is no longer declared is removed

A host kept an endpoint that was no longer declared, with its state, for ever. Cause: it was kept while its view had slots in use, and the expiry of a view never empties it; and while there were grants, which an owner that has yielded keeps as they were. Change: the expired view of an endpoint that is out of service is empty, and grants count at the owner only. Such an endpoint goes with the next configuration.

--- a/pkg/admit/admit.c
+++ b/pkg/admit/admit.c
@@ -64,6 +64,15 @@
 		admit_alloc_slow_start(e->alloc);
 }
 
+/* Returns true if an endpoint that is not declared any more is still in use. */
+static bool is_in_use(const struct admit_endpoint *e)
+{
+	const struct admit_allocator *al = e->alloc;
+
+	return e->slots_used ||
+	       (al && al->state != ADMIT_INACTIVE && al->grant_n);
+}
+
 int admit_configure(struct admit *a, const struct config *c)
 {
 	struct admit_endpoint *old = a->endpoint;
@@ -88,8 +97,7 @@
 	for (i = 0; i < old_n; i++) {
 		if (admit_find(a, old[i].name))
 			continue;
-		if (!old[i].slots_used &&
-		    !(old[i].alloc && old[i].alloc->grant_n)) {
+		if (!is_in_use(&old[i])) {
 			free_allocator(&old[i]);
 			continue;
 		}
@@ -180,7 +188,8 @@
 /*
  * Expires a view that was not updated for VIEW_TTL_US, and reservations that
  * the owner never confirmed. An expired view shows at least one free slot, so
- * that this host sends the owner a request and learns its free capacity.
+ * that this host sends the owner a request and learns its free capacity. It
+ * sends none for an endpoint that is out of service: its view is empty then.
  */
 static void expire_view(struct admit_endpoint *e, int64_t now_us)
 {
@@ -194,7 +203,9 @@
 	e->view_updated_us = 0;
 	e->unavailable = false;
 	e->queued_tokens = 0;
-	if (e->slots_used >= e->slots)
+	if (!e->in_service)
+		e->slots_used = 0;
+	else if (e->slots_used >= e->slots)
 		e->slots_used = e->slots ? e->slots - 1 : 0;
 	e->pieces_used = 0;
 }
--- a/pkg/admit/test/admit_alloc_test.cc
+++ b/pkg/admit/test/admit_alloc_test.cc
@@ -353,6 +353,40 @@
 	admit_finish(&a);
 }
 
+/* Guards against endpoints that stay for ever after they were declared: since the
+ * last view showed slots in use, or since an earlier owner keeps its grants. */
+TEST(Owner, EndpointThatIsNoLongerDeclaredIsRemoved)
+{
+	struct config_endpoint declared[2] = {};
+	struct admit_grant *grant;
+	struct config c = {};
+	struct admit a;
+
+	strcpy(declared[0].name, "viewed");
+	strcpy(declared[1].name, "yielded");
+	declared[0].slots = declared[1].slots = 4;
+	c.endpoint = declared;
+	c.endpoint_n = 2;
+	admit_init(&a);
+	ASSERT_EQ(0, admit_configure(&a, &c));
+	admit_view_update(&a.endpoint[0], 2, 0, 0, false, 1 * S);
+	a.endpoint[1].alloc = (struct admit_allocator *)calloc(
+		1, sizeof(*a.endpoint[1].alloc));
+	ASSERT_EQ(0, admit_alloc_init(a.endpoint[1].alloc, 4, 4));
+	grant = &a.endpoint[1].alloc->grant[a.endpoint[1].alloc->grant_n++];
+	strcpy(grant->run, "run");
+	a.endpoint[1].alloc->state = ADMIT_ACTIVE;
+	c.endpoint_n = 0;
+	ASSERT_EQ(0, admit_configure(&a, &c));
+	EXPECT_EQ(2u, a.n) << "both are in use";
+	admit_alloc_yield(a.endpoint[1].alloc, 2, false);
+	for (int64_t now_us = 1 * S; now_us < 3 * S; now_us += S / 10)
+		admit_tick(&a, now_us);
+	ASSERT_EQ(0, admit_configure(&a, &c));
+	EXPECT_EQ(0u, a.n);
+	admit_finish(&a);
+}
+
 TEST(View, UnconfirmedReservationExpires)
 {
 	struct admit_endpoint e = {};
