h1: a new connection has time for its first request

During a planned stop, callers that had just opened a connection saw it close before their first request was read.

Cause: h1_server_close_idle(), which the gateway calls every 0.1 s in a stop, took a connection without input for an idle one, however new.

Change: a connection counts as idle after a response, or 0.5 s after it was accepted.

--- a/pkg/h1/h1.h
+++ b/pkg/h1/h1.h
@@ -192,6 +192,7 @@
 	bool head_started;     /* part of the next head has arrived */
 	double idle_since_s;   /* loop time since which no input has arrived */
 	size_t buffered_bytes; /* part of the server's buffered_bytes */
+	bool used;	       /* a response has been sent on it */
 	bool closing;	       /* closes once out has been sent */
 	bool close_after;      /* the connection closes after this response */
 	bool response_chunked;
@@ -262,7 +263,8 @@
 void h1_server_finish(struct h1_server *s);
 /*
  * Closes the connections on which no request is being received or waits for its
- * response. Input that has arrived on them is served first.
+ * response. Input that has arrived on them is served first. A new connection
+ * has a moment for its first request.
  */
 void h1_server_close_idle(struct h1_server *s);
 
--- a/pkg/h1/server.c
+++ b/pkg/h1/server.c
@@ -20,6 +20,9 @@
  * the peer can lose the response.
  */
 #define LINGER_S 1.0
+/* Time that a new connection has for its first request before
+ * h1_server_close_idle() takes it for idle. */
+#define FIRST_REQUEST_S 0.5
 /* Limits how long a burst of connections delays other events. */
 #define ACCEPTS_PER_EVENT 64
 
@@ -171,6 +174,7 @@
 	finish_request(c);
 	update_buffered_bytes(c);
 	c->closing = c->close_after;
+	c->used = true;
 	c->state = H1_READING;
 	flush(c);
 	if (c->closing || c->broken)
@@ -572,14 +576,22 @@
 		conn_free(TAILQ_FIRST(&s->conns));
 }
 
+static bool is_idle(const struct h1_conn *c)
+{
+	if (c->state != H1_READING || c->closing || c->in_body ||
+	    request_bytes(c))
+		return false;
+	return c->used ||
+	       ev_now(c->server->loop) - c->idle_since_s >= FIRST_REQUEST_S;
+}
+
 void h1_server_close_idle(struct h1_server *s)
 {
 	struct h1_conn *c, *next;
 
 	for (c = TAILQ_FIRST(&s->conns); c; c = next) {
 		next = TAILQ_NEXT(c, entry);
-		if (c->state == H1_READING && !request_bytes(c) &&
-		    !c->in_body && !c->closing) {
+		if (is_idle(c)) {
 			ev_timer_stop(s->loop, &c->timer);
 			if (!serve_waiting_input(c))
 				close_idle(c);
--- a/pkg/h1/test/h1_socket_test.cc
+++ b/pkg/h1/test/h1_socket_test.cc
@@ -290,6 +290,25 @@
 	close(fd);
 }
 
+/* Guards against a connection that is closed before its first request. */
+TEST(Server, LeavesANewConnectionTimeForItsFirstRequest)
+{
+	Server s;
+	int fd = s.connect(), idle;
+
+	s.limits.idle_timeout_ms = 5000;
+	idle = s.connect();
+	h1_server_close_idle(&s.server);
+	EXPECT_EQ(status_of(s.exchange(fd, get)), "200");
+	EXPECT_EQ(s.server.conns_n, 2u);
+	s.run_loop(0.6);
+	h1_server_close_idle(&s.server);
+	close(fd);
+	close(idle);
+	s.run_loop(0.02);
+	EXPECT_EQ(s.server.conns_n, 0u);
+}
+
 /*
  * Guards against a connection that is closed although its caller may use it
  * again by the limit that is in force now.
