gateway: a host that ends takes the connections that still wait

Callers that opened a connection as a planned stop ended saw it close without an answer.

Cause: at the end the process closed the listener together with the connections that the kernel had completed and the process had not accepted, and those that it had accepted just before.

Change: when nothing is left to do, or at the time by which requests end, the host accepts all that wait and closes the listener; the connections go on. A handshake that is under way at that moment still meets a reset, as there is no way to finish it without taking new ones.

--- a/cmd/figbend/gateway/gateway.c
+++ b/cmd/figbend/gateway/gateway.c
@@ -155,6 +155,9 @@
 	if (drain_is_listening(&g->drain, now_us))
 		return;
 	h1_server_close_idle(&g->callers);
+	if (now_us >= drain_deadline_us(&g->drain) ||
+	    (!g->n_reqs && !g->callers.conns_n))
+		h1_server_stop_listening(&g->callers);
 	if (!g->n_reqs && !g->callers.conns_n)
 		ev_break(g->loop, EVBREAK_ALL);
 	if (drain_is_over(&g->drain, now_us)) {
--- a/pkg/h1/h1.h
+++ b/pkg/h1/h1.h
@@ -236,7 +236,7 @@
  */
 struct h1_server {
 	struct ev_loop *loop;
-	int fd;
+	int fd; /* the listener; -1 once it is closed */
 	ev_io acceptor;
 	const struct h1_limits *limits;
 	const struct h1_server_handlers *handlers;
@@ -261,6 +261,11 @@
 		   const struct h1_server_handlers *h, void *ctx);
 /* Closes the listener and all connections without calling a handler. */
 void h1_server_finish(struct h1_server *s);
+/*
+ * Closes the listener once all connections that the kernel holds for it are
+ * accepted; connections go on.
+ */
+void h1_server_stop_listening(struct h1_server *s);
 /*
  * Closes the connections on which no request is being received or waits for its
  * response. Input that has arrived on them is served first. A new connection
--- a/pkg/h1/server.c
+++ b/pkg/h1/server.c
@@ -519,23 +519,29 @@
 	restart_idle_timer(c);
 }
 
-static void on_accept(struct ev_loop *loop, ev_io *w, int events)
+/* Accepts a connection that waits. Returns false if there is none. */
+static bool accept_one(struct h1_server *s)
 {
-	struct h1_server *s = w->data;
-	int i, fd;
+	int fd = accept4(s->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
 
-	for (i = 0; i < ACCEPTS_PER_EVENT; i++) {
-		fd = accept4(s->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
-		if (fd < 0)
-			return;
-		if (s->conns_n >= s->conns_max) {
-			s->handlers->rejected(s->ctx, 0,
-					      "too many connections");
-			close(fd);
-			continue;
-		}
+	if (fd < 0)
+		return false;
+	if (s->conns_n >= s->conns_max) {
+		s->handlers->rejected(s->ctx, 0, "too many connections");
+		close(fd);
+	} else {
 		conn_new(s, fd);
 	}
+	return true;
+}
+
+static void on_accept(struct ev_loop *loop, ev_io *w, int events)
+{
+	int i;
+
+	for (i = 0; i < ACCEPTS_PER_EVENT; i++)
+		if (!accept_one(w->data))
+			return;
 }
 
 int h1_server_init(struct h1_server *s, struct ev_loop *loop,
@@ -568,10 +574,20 @@
 	return 0;
 }
 
-void h1_server_finish(struct h1_server *s)
+void h1_server_stop_listening(struct h1_server *s)
 {
+	if (s->fd < 0)
+		return;
 	ev_io_stop(s->loop, &s->acceptor);
+	while (accept_one(s))
+		;
 	close(s->fd);
+	s->fd = -1;
+}
+
+void h1_server_finish(struct h1_server *s)
+{
+	h1_server_stop_listening(s);
 	while (!TAILQ_EMPTY(&s->conns))
 		conn_free(TAILQ_FIRST(&s->conns));
 }
--- a/pkg/h1/test/h1_socket_test.cc
+++ b/pkg/h1/test/h1_socket_test.cc
@@ -290,6 +290,31 @@
 	close(fd);
 }
 
+/* Guards against connections that the kernel has completed, and that nobody has
+ * accepted when the server stops. */
+TEST(Server, TakesTheConnectionsThatWaitWhenItStopsListening)
+{
+	struct sockaddr_in a;
+	std::vector<int> fds;
+	Server s;
+
+	a = loopback(port_of(s.server.fd));
+	for (int i = 0; i < 100; i++) {
+		fds.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+		::connect(fds.back(), (struct sockaddr *)&a, sizeof(a));
+		s.send_bytes(fds.back(), get);
+	}
+	h1_server_stop_listening(&s.server);
+	s.run_loop(0.05);
+	for (int fd : fds) {
+		EXPECT_EQ(status_of(s.receive(fd, 0)), "200");
+		close(fd);
+	}
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	EXPECT_EQ(::connect(fd, (struct sockaddr *)&a, sizeof(a)), -1);
+	close(fd);
+}
+
 /* Guards against a connection that is closed before its first request. */
 TEST(Server, LeavesANewConnectionTimeForItsFirstRequest)
 {
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -1262,6 +1262,42 @@
     assert r.status == 503 and executions(d, rid) == 0, r.status
 
 
+async def call_on_new_connections(d, done, outcomes):
+    """Sends calls, each on a connection of its own, until done is set."""
+    while not done.is_set():
+        rid, raw = d.request_bytes("non_idempotent")
+        try:
+            reader, writer = await connect(d)
+        except OSError:
+            await asyncio.sleep(0.01)
+            continue
+        await asyncio.sleep(random.uniform(0, 0.03))
+        try:
+            writer.write(raw)
+            r = await read_response(reader)
+            outcomes.append(r.status)
+        except ConnectionError:
+            outcomes.append(0)
+        writer.close()
+
+
+# Guards against connections that callers have opened, and that a stopping host
+# closes before it has accepted them or read their first request.
+async def test_answers_all_connections_while_it_stops(d):
+    await start_small(d)
+    done, outcomes = asyncio.Event(), []
+    callers = [asyncio.ensure_future(
+        call_on_new_connections(d, done, outcomes)) for _ in range(30)]
+    await asyncio.sleep(0.3)
+    d.hosts[0].signal(signal.SIGTERM)
+    assert await asyncio.wait_for(d.hosts[0].process.wait(), 9) == 0
+    done.set()
+    await asyncio.wait(callers)
+    assert len(outcomes) > 1000, len(outcomes)
+    lost = [s for s in outcomes if s not in (200, 503)]
+    assert not lost, f"{len(lost)} of {len(outcomes)} without an answer"
+
+
 async def change_idle_timeout(d, ms):
     d.idle_ms = ms
     d.routes.append(d.route(f"idle{ms}", "idempotent", "plain", 1))
