gateway: requests that are incomplete when a stop ends get 503

A caller that was still sending its request when a planned stop ended saw the connection close and did not learn that its request had not run.

Evidence: pools refuses_slow_bodies_at_the_end_of_the_grace (10 bytes a second) failed before: no answer; passes now: 503 with Retry-After 0.05, and nothing was executed. h1_socket Server.RejectsIncompleteRequestsBeforeItEnds.

--- a/cmd/figbend/gateway/gateway.c
+++ b/cmd/figbend/gateway/gateway.c
@@ -29,6 +29,8 @@
 /* File descriptors kept for everything but callers' connections. */
 #define RESERVED_DESCRIPTORS 1200
 #define METRICS_MAX_BYTES 65536
+/* Other hosts accept at once what this one refuses while it stops. */
+#define RETRY_ELSEWHERE "Retry-After: 0.05\r\n"
 
 int64_t gateway_clock_us(void)
 {
@@ -152,12 +154,15 @@
 /* Ends the loop once all connections are closed or the stop is nearly over. */
 static void check_stop(struct gateway *g, int64_t now_us)
 {
+	bool last = now_us >= drain_deadline_us(&g->drain);
+
 	if (drain_is_listening(&g->drain, now_us))
 		return;
 	h1_server_close_idle(&g->callers);
-	if (now_us >= drain_deadline_us(&g->drain) ||
-	    (!g->n_reqs && !g->callers.conns_n))
+	if (last || (!g->n_reqs && !g->callers.conns_n))
 		h1_server_stop_listening(&g->callers);
+	if (last)
+		h1_server_reject_incomplete(&g->callers, RETRY_ELSEWHERE);
 	if (!g->n_reqs && !g->callers.conns_n)
 		ev_break(g->loop, EVBREAK_ALL);
 	if (drain_is_over(&g->drain, now_us)) {
--- a/pkg/h1/h1.h
+++ b/pkg/h1/h1.h
@@ -272,6 +272,11 @@
  * has a moment for its first request.
  */
 void h1_server_close_idle(struct h1_server *s);
+/*
+ * Responds with 503 to the requests that are still being received, and closes
+ * their connections. fields is as in h1_respond().
+ */
+void h1_server_reject_incomplete(struct h1_server *s, const char *fields);
 
 /*
  * Returns the number of response bytes that the socket has not accepted yet,
--- a/pkg/h1/server.c
+++ b/pkg/h1/server.c
@@ -260,13 +260,22 @@
 	response_done(c);
 }
 
-/* Responds to a request that is not accepted, and closes the connection. */
-static void reject(struct h1_conn *c, uint16_t status, const char *reason)
+/*
+ * Responds to a request that is not accepted, and closes the connection. fields
+ * is as in h1_respond().
+ */
+static void reject_with(struct h1_conn *c, uint16_t status, const char *fields,
+			const char *reason)
 {
 	c->server->handlers->rejected(c->server->ctx, status, reason);
 	c->close_after = true;
-	h1_respond(c, status, status == 503 ? "Retry-After: 1\r\n" : NULL, NULL,
-		   0);
+	h1_respond(c, status, fields, NULL, 0);
+}
+
+static void reject(struct h1_conn *c, uint16_t status, const char *reason)
+{
+	reject_with(c, status, status == 503 ? "Retry-After: 1\r\n" : NULL,
+		    reason);
 }
 
 size_t h1_unsent_bytes(const struct h1_conn *c)
@@ -614,3 +623,14 @@
 		}
 	}
 }
+
+void h1_server_reject_incomplete(struct h1_server *s, const char *fields)
+{
+	struct h1_conn *c;
+
+	TAILQ_FOREACH(c, &s->conns, entry)
+	if (c->state == H1_READING && !c->closing && !c->broken &&
+	    (c->in_body || request_bytes(c)))
+		reject_with(c, 503, fields,
+			    "request not complete when the host stops");
+}
--- a/pkg/h1/test/h1_socket_test.cc
+++ b/pkg/h1/test/h1_socket_test.cc
@@ -334,6 +334,25 @@
 	EXPECT_EQ(s.server.conns_n, 0u);
 }
 
+/* Guards against callers that are still sending, and get no answer. */
+TEST(Server, RejectsIncompleteRequestsBeforeItEnds)
+{
+	Server s;
+	int head = s.connect(), body = s.connect(), idle = s.connect();
+
+	s.send_bytes(head, "GET / HT");
+	s.send_bytes(body, "POST / HTTP/1.1\r\nHost: x\r\n"
+			   "Content-Length: 5\r\n\r\n");
+	s.run_loop(0.02);
+	h1_server_reject_incomplete(&s.server, "Retry-After: 0.5\r\n");
+	EXPECT_EQ(status_of(s.receive(head)), "503");
+	EXPECT_NE(s.receive(body).find("Retry-After: 0.5"), std::string::npos);
+	EXPECT_EQ(status_of(s.exchange(idle, get)), "200");
+	close(head);
+	close(body);
+	close(idle);
+}
+
 /*
  * Guards against a connection that is closed although its caller may use it
  * again by the limit that is in force now.
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -1262,6 +1262,24 @@
     assert r.status == 503 and executions(d, rid) == 0, r.status
 
 
+# Guards against a request that is still being received when its host ends, and
+# whose caller learns nothing.
+async def test_refuses_slow_bodies_at_the_end_of_the_grace(d):
+    await start_small(d)
+    reader, writer = await connect(d)
+    rid, raw = d.request_bytes("non_idempotent", body=b"x" * 100)
+    d.hosts[0].signal(signal.SIGTERM)
+    writer.write(raw[:-90])
+    answer = asyncio.ensure_future(read_response(reader))
+    for _ in range(80):
+        await asyncio.sleep(0.1)
+        if answer.done():
+            break
+        writer.write(b"x")
+    r = await asyncio.wait_for(answer, 1)
+    assert r.status == 503 and executions(d, rid) == 0, r.status
+
+
 async def call_on_new_connections(d, done, outcomes):
     """Sends calls, each on a connection of its own, until done is set."""
     while not done.is_set():
