h1: a connection whose peer does not read ends after the idle timeout

A peer that asked for a large response and did not read it kept its connection and the memory of the response for as long as it liked.

Cause: a closing connection whose output the socket did not accept had no timer; the idle timer only set it closing.

Evidence: h1_socket Server.FreesAConnectionWhosePeerDoesNotRead failed before (the connection was there after 3.5 idle timeouts, with Connection: close and without), passes now. KeepsAConnectionWhosePeerReadsSlowly passed before and passes.

Change: while output waits on a closing connection, the idle timeout runs from the last byte that the socket accepted.

--- a/pkg/h1/server.c
+++ b/pkg/h1/server.c
@@ -141,10 +141,12 @@
 
 /*
  * Sends as much of the output as the socket accepts. A closing connection starts
- * to linger when all is sent.
+ * to linger when all is sent, and ends if its peer reads nothing for the idle
+ * timeout.
  */
 static void flush(struct h1_conn *c)
 {
+	bool progress = false;
 	ssize_t n;
 
 	while (!c->broken && h1_buf_len(&c->out)) {
@@ -154,12 +156,16 @@
 			continue;
 		if (n < 0 && errno == EAGAIN) {
 			ev_io_start(c->server->loop, &c->writer);
+			if (c->closing &&
+			    (progress || !ev_is_active(&c->timer)))
+				restart_idle_timer(c);
 			return;
 		}
 		if (n <= 0) {
 			conn_free_later(c);
 			return;
 		}
+		progress = true;
 		h1_buf_consume(&c->out, (size_t)n);
 	}
 	ev_io_stop(c->server->loop, &c->writer);
@@ -489,14 +495,14 @@
 }
 
 /*
- * A timeout, the end of lingering, or the deferred free of a broken connection.
+ * A timeout, the end of a closing or the deferred free of a broken connection.
  * Idle connections close without a response.
  */
 static void on_timer(struct ev_loop *loop, ev_timer *w, int events)
 {
 	struct h1_conn *c = w->data;
 
-	if (c->broken || c->lingering)
+	if (c->broken || c->closing)
 		conn_disconnected(c);
 	else if (serve_waiting_input(c) || may_stay_idle(c))
 		return;
--- a/pkg/h1/test/h1_socket_test.cc
+++ b/pkg/h1/test/h1_socket_test.cc
@@ -387,6 +387,52 @@
 	close(fd);
 }
 
+static const size_t LARGE_BYTES = 32 << 20; /* more than the sockets hold */
+
+/* Guards against connections that stay for good because nobody reads them. */
+TEST(Server, FreesAConnectionWhosePeerDoesNotRead)
+{
+	std::string large(LARGE_BYTES, 'a');
+	Server s;
+
+	s.respond = false;
+	s.limits.idle_timeout_ms = 200;
+	for (const char *close_after : {"", "Connection: close\r\n"}) {
+		int fd = s.connect();
+
+		s.send_bytes(fd, std::string("GET /1 HTTP/1.1\r\nHost: x\r\n") +
+					 close_after + "\r\n");
+		s.run_loop(0.02);
+		h1_respond(s.waiting, 200, NULL, large.data(), large.size());
+		s.run_loop(0.7);
+		EXPECT_EQ(s.server.conns_n, 0u) << close_after;
+		close(fd);
+	}
+}
+
+/* A peer that reads slowly gets the whole response. */
+TEST(Server, KeepsAConnectionWhosePeerReadsSlowly)
+{
+	std::string large(LARGE_BYTES, 'a');
+	std::vector<char> p(2 << 20);
+	Server s;
+	int fd = s.connect();
+	size_t got = 0;
+
+	s.respond = false;
+	s.limits.idle_timeout_ms = 200;
+	s.exchange(fd, get);
+	h1_respond(s.waiting, 200, NULL, large.data(), large.size());
+	for (int i = 0; i < 200 && got < large.size(); i++) {
+		ssize_t n = recv(fd, p.data(), p.size(), 0);
+
+		got += n > 0 ? (size_t)n : 0;
+		s.run_loop(0.05);
+	}
+	EXPECT_GT(got, large.size());
+	close(fd);
+}
+
 TEST(Server, ReportsDisconnectWhileRequestWaits)
 {
 	Server s;
