h1: accept a request target in absolute form

A caller that sent its target in absolute form, as to a proxy, got 400.

Cause: the parser took origin form only; RFC 9112, 3.2.2 asks servers to accept both, and to use the authority of the target in place of Host.

Evidence: h1_head ParseRequest.AcceptsAbsoluteForm and TakesHostFromAbsoluteForm failed before, pass now. RejectsMalformedAbsoluteForm passes. Folded fields, bare line feeds, NUL in a field and a line feed after a chunk extension are rejected already: RejectsMalformedFieldLines, with a folded field more, and ChunkedBody.RejectsMalformedCoding passed before this change.

--- a/pkg/h1/h1.h
+++ b/pkg/h1/h1.h
@@ -64,11 +64,14 @@
 	const char *value; /* without leading and trailing whitespace */
 };
 
-/* The head of a request or a response. Its strings point into text. */
+/*
+ * The head of a request or a response. Its strings point into text. The
+ * authority of a target in absolute form is the value of Host.
+ */
 struct h1_head {
 	char *text;	       /* a copy of the head, owned by this struct */
 	const char *method;    /* NULL in a response */
-	const char *target;    /* in origin form; NULL in a response */
+	const char *target;    /* made origin form; NULL in a response */
 	uint16_t status;       /* 0 in a request */
 	uint8_t minor_version; /* x in HTTP/1.x: 0 or 1 */
 	struct h1_field field[H1_FIELDS_MAX];
--- a/pkg/h1/head.c
+++ b/pkg/h1/head.c
@@ -216,8 +216,47 @@
 	return 0;
 }
 
-/* Accepts only a target in origin form. Returns 0 or -EBADMSG. */
-static int parse_request_line(struct h1_head *h, char *line)
+/* Returns the length of the scheme of a target in absolute form, or 0. */
+static size_t scheme_length(const char *target)
+{
+	if (strncasecmp(target, "http://", 7) == 0)
+		return 7;
+	return strncasecmp(target, "https://", 8) == 0 ? 8 : 0;
+}
+
+/*
+ * Splits a target in absolute form into h->target, in origin form, and the
+ * authority, without user information. Returns 0 or -EBADMSG.
+ */
+static int split_target(struct h1_head *h, char *target, const char **authority)
+{
+	static const char extra[] = "-._~%!$&'()*+,;=:[]";
+	size_t scheme = scheme_length(target), n = 0;
+	char *from = target + scheme;
+
+	while (isalnum((unsigned char)from[n]) ||
+	       (from[n] && strchr(extra, from[n])))
+		n++;
+	if (!scheme || !n || (from[n] && from[n] != '/' && from[n] != '?'))
+		return -EBADMSG;
+	h->target = from + n;
+	/* Moving the authority to the front makes room for "/" and its end. */
+	memmove(target, from, n);
+	target[n] = '\0';
+	*authority = target;
+	if (from[n] != '/') {
+		from[n - 1] = '/';
+		h->target = from + n - 1;
+	}
+	return 0;
+}
+
+/*
+ * Accepts a target in origin form, or in absolute form; then sets *authority.
+ * Returns 0 or -EBADMSG.
+ */
+static int parse_request_line(struct h1_head *h, char *line,
+			      const char **authority)
 {
 	char *target = strchr(line, ' ');
 	char *version = target ? strchr(target + 1, ' ') : NULL;
@@ -230,13 +269,31 @@
 	for (p = target; *p; p++)
 		if ((unsigned char)*p <= ' ' || (unsigned char)*p >= 0x7f)
 			return -EBADMSG;
-	if (!valid_token(line) || *target != '/' || strlen(version) != 8)
+	if (!valid_token(line) || strlen(version) != 8)
 		return -EBADMSG;
 	h->method = line;
 	h->target = target;
+	if (*target != '/' && split_target(h, target, authority) < 0)
+		return -EBADMSG;
 	return parse_version(h, version);
 }
 
+/* Host is ignored beside a target in absolute form (RFC 9112, 3.2.2). */
+static int set_host(struct h1_head *h, const char *authority)
+{
+	uint32_t i;
+
+	for (i = 0; i < h->n_fields; i++)
+		if (strcasecmp(h->field[i].name, "Host") == 0)
+			break;
+	if (i == H1_FIELDS_MAX)
+		return -E2BIG;
+	if (i == h->n_fields)
+		h->field[h->n_fields++].name = "Host";
+	h->field[i].value = authority;
+	return 0;
+}
+
 /*
  * Clears h and sets its text to a checked copy of the head, which the parser
  * then splits into strings. Returns 0, -EBADMSG or -ENOMEM.
@@ -256,18 +313,21 @@
 
 int h1_parse_request(struct h1_head *h, const char *p, size_t n)
 {
+	const char *authority = NULL;
 	char *at;
 	int r = copy_text(h, p, n);
 
 	if (r < 0)
 		return r;
 	at = h->text;
-	r = parse_request_line(h, next_line(&at));
+	r = parse_request_line(h, next_line(&at), &authority);
 	if (r == 0)
 		r = parse_field_lines(h, at);
 	if (r == 0 && (count_fields(h, "Host") > 1 ||
 		       (h->minor_version == 1 && !h1_get_field(h, "Host"))))
 		r = -EBADMSG;
+	if (r == 0 && authority)
+		r = set_host(h, authority);
 	if (r == 0)
 		r = set_framing(h, H1_NO_BODY);
 	if (r < 0) {
--- a/pkg/h1/test/h1_head_test.cc
+++ b/pkg/h1/test/h1_head_test.cc
@@ -81,6 +81,7 @@
 	EXPECT_EQ(parse_result("Host: x\r\nHost: y\r\n"), -EBADMSG);
 	EXPECT_EQ(parse_result("Host: x\r\nContent-Length : 1\r\n"), -EBADMSG);
 	EXPECT_EQ(parse_result("Host: x\r\n Folded: 1\r\n"), -EBADMSG);
+	EXPECT_EQ(parse_result("Host: x\r\nA: b\r\n\tfolded\r\n"), -EBADMSG);
 	EXPECT_EQ(parse_result("Host: x\r\nno colon\r\n"), -EBADMSG);
 	EXPECT_EQ(parse_result("Host: x\nA: b\r\n"), -EBADMSG)
 		<< "bare line feed";
@@ -104,6 +105,59 @@
 	}
 }
 
+/* Guards against the refusal of a form that every server accepts (RFC 9112,
+ * section 3.2.2); its authority takes the place of Host. */
+TEST(ParseRequest, AcceptsAbsoluteForm)
+{
+	struct {
+		const char *target, *path, *host;
+	} rows[] = {
+		{"http://x.example/a?b", "/a?b", "x.example"},
+		{"HTTPS://x.example:8080/a", "/a", "x.example:8080"},
+		{"http://x.example", "/", "x.example"},
+		{"http://x.example?b", "/?b", "x.example"},
+		{"http://[::1]:80/", "/", "[::1]:80"},
+	};
+
+	for (auto &row : rows) {
+		std::string s = std::string("GET ") + row.target +
+				" HTTP/1.1\r\nHost: other\r\nA: b\r\n\r\n";
+		struct h1_head h;
+
+		ASSERT_EQ(parse(s, &h), 0) << row.target;
+		EXPECT_STREQ(h.target, row.path);
+		EXPECT_STREQ(h1_get_field(&h, "host"), row.host);
+		EXPECT_STREQ(h1_get_field(&h, "a"), "b");
+		EXPECT_EQ(h.n_fields, 2u);
+		h1_head_finish(&h);
+	}
+}
+
+/* Without Host, which is allowed in HTTP/1.0 only, the authority is added. */
+TEST(ParseRequest, TakesHostFromAbsoluteForm)
+{
+	struct h1_head h;
+
+	ASSERT_EQ(parse("GET http://x/a HTTP/1.0\r\nA: b\r\n\r\n", &h), 0);
+	EXPECT_STREQ(h1_get_field(&h, "Host"), "x");
+	h1_head_finish(&h);
+	EXPECT_EQ(parse("GET http://x/a HTTP/1.1\r\nA: b\r\n\r\n", &h),
+		  -EBADMSG);
+}
+
+TEST(ParseRequest, RejectsMalformedAbsoluteForm)
+{
+	for (const char *target :
+	     {"http:/x/a", "http://", "http:///a", "http://u@x/a", "ftp://x/a",
+	      "http", "http://x\\y/a", "http://?b"}) {
+		std::string s = std::string("GET ") + target +
+				" HTTP/1.1\r\nHost: x\r\n\r\n";
+		struct h1_head h;
+
+		EXPECT_EQ(parse(s, &h), -EBADMSG) << target;
+	}
+}
+
 TEST(ParseRequest, RejectsTooManyFields)
 {
 	std::string s = "Host: x\r\n";
