h1: pause when a connection cannot be accepted

A host that was out of descriptors used a whole core until one was free, and logged nothing.

Cause: accept4() failed and the connection went on waiting, so the loop called it again at once.

Evidence: h1_socket Server.WaitsWhenItHasNoDescriptors failed before: 413,755 turns of the loop in 0.3 s; passes now (under 20), and the connection is served once there are descriptors.

Change: after such a failure the host accepts again 0.1 s later, and reports it to the rejected handler.

--- a/pkg/h1/h1.h
+++ b/pkg/h1/h1.h
@@ -224,9 +224,10 @@
 	void (*disconnected)(void *ctx, struct h1_conn *c);
 	/*
 	 * A request was rejected before it was complete, with this status. With
-	 * status 0, a connection over conns_max was closed, or a request
-	 * arrived on a connection that had just been closed as idle, and was
-	 * not read. The reason is a static string for a log.
+	 * status 0, a connection over conns_max was closed, one could not be
+	 * accepted yet, or a request arrived on a connection that had just been
+	 * closed as idle, and was not read. The reason is a static string for a
+	 * log.
 	 */
 	void (*rejected)(void *ctx, uint16_t status, const char *reason);
 };
@@ -241,6 +242,7 @@
 	struct ev_loop *loop;
 	int fd; /* the listener; -1 once it is closed */
 	ev_io acceptor;
+	ev_timer accept_pause; /* the acceptor is stopped meanwhile */
 	const struct h1_limits *limits;
 	const struct h1_server_handlers *handlers;
 	void *ctx;
--- a/pkg/h1/server.c
+++ b/pkg/h1/server.c
@@ -25,6 +25,8 @@
 #define FIRST_REQUEST_S 0.5
 /* Limits how long a burst of connections delays other events. */
 #define ACCEPTS_PER_EVENT 64
+/* Pause after a connection could not be accepted for lack of resources. */
+#define ACCEPT_PAUSE_S 0.1
 
 struct reason_phrase {
 	uint16_t status;
@@ -534,11 +536,34 @@
 	restart_idle_timer(c);
 }
 
-/* Accepts a connection that waits. Returns false if there is none. */
+static void on_accept_pause_end(struct ev_loop *loop, ev_timer *w, int events)
+{
+	struct h1_server *s = w->data;
+
+	ev_io_start(loop, &s->acceptor);
+}
+
+/* Without a pause, the loop would run again and again for what waits. */
+static void pause_accepting(struct h1_server *s)
+{
+	s->handlers->rejected(s->ctx, 0, "no resources for a new connection");
+	ev_io_stop(s->loop, &s->acceptor);
+	ev_timer_set(&s->accept_pause, ACCEPT_PAUSE_S, 0.);
+	ev_timer_start(s->loop, &s->accept_pause);
+}
+
+/*
+ * Accepts a connection that waits. Returns false if there is none or it cannot
+ * be accepted now.
+ */
 static bool accept_one(struct h1_server *s)
 {
 	int fd = accept4(s->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
 
+	if (fd < 0 && (errno == EINTR || errno == ECONNABORTED))
+		return true;
+	if (fd < 0 && errno != EAGAIN)
+		pause_accepting(s);
 	if (fd < 0)
 		return false;
 	if (s->conns_n >= s->conns_max) {
@@ -584,7 +609,8 @@
 		return -on;
 	}
 	ev_io_init(&s->acceptor, on_accept, s->fd, EV_READ);
-	s->acceptor.data = s;
+	ev_timer_init(&s->accept_pause, on_accept_pause_end, 0., 0.);
+	s->acceptor.data = s->accept_pause.data = s;
 	ev_io_start(loop, &s->acceptor);
 	return 0;
 }
@@ -596,6 +622,7 @@
 	ev_io_stop(s->loop, &s->acceptor);
 	while (accept_one(s))
 		;
+	ev_timer_stop(s->loop, &s->accept_pause);
 	close(s->fd);
 	s->fd = -1;
 }
--- a/pkg/h1/test/h1_socket_test.cc
+++ b/pkg/h1/test/h1_socket_test.cc
@@ -4,6 +4,7 @@
 #include <errno.h>
 #include <functional>
 #include <string>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <vector>
@@ -433,6 +434,30 @@
 	close(fd);
 }
 
+/* Guards against a server that accepts again and again without a descriptor. */
+TEST(Server, WaitsWhenItHasNoDescriptors)
+{
+	struct rlimit limit, none;
+	struct sockaddr_in a;
+	Server s;
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+
+	a = loopback(port_of(s.server.fd));
+	s.run_loop(0.01);
+	getrlimit(RLIMIT_NOFILE, &limit);
+	none = limit;
+	none.rlim_cur = 0;
+	setrlimit(RLIMIT_NOFILE, &none);
+	::connect(fd, (struct sockaddr *)&a, sizeof(a));
+	unsigned before = ev_iteration(s.loop);
+	s.run_loop(0.3);
+	EXPECT_LT(ev_iteration(s.loop) - before, 20u);
+	EXPECT_FALSE(s.rejected.empty()) << "it is reported";
+	setrlimit(RLIMIT_NOFILE, &limit);
+	EXPECT_EQ(status_of(s.exchange(fd, get, 0.3)), "200");
+	close(fd);
+}
+
 TEST(Server, ReportsDisconnectWhileRequestWaits)
 {
 	Server s;
