h1: send 100 only to callers that expect it

A caller with HTTP/1.0, or with an expectation other than 100-continue, got an interim response that it had not asked for.

Evidence: h1_socket Server.ContinuesOnlyWhereItIsExpected failed before for both, passes now.

--- a/pkg/h1/server.c
+++ b/pkg/h1/server.c
@@ -298,6 +298,7 @@
 static bool read_head(struct h1_conn *c)
 {
 	const struct h1_limits *l = c->server->limits;
+	const char *expect;
 	size_t n;
 	int r;
 
@@ -331,7 +332,10 @@
 		reject(c, 413, "request body too large");
 		return false;
 	}
-	if (h1_get_field(&c->request.head, "Expect") && !c->body.complete)
+	/* Other expectations are ignored (RFC 9110, 10.1.1). */
+	expect = h1_get_field(&c->request.head, "Expect");
+	if (expect && strcasecmp(expect, "100-continue") == 0 &&
+	    c->request.head.minor_version == 1 && !c->body.complete)
 		h1_buf_printf(&c->out, "HTTP/1.1 100 Continue\r\n\r\n");
 	return true;
 }
--- a/pkg/h1/test/h1_socket_test.cc
+++ b/pkg/h1/test/h1_socket_test.cc
@@ -458,6 +458,33 @@
 	close(fd);
 }
 
+/* Guards against a 100 that the caller has not asked for (RFC 9110, 10.1.1). */
+TEST(Server, ContinuesOnlyWhereItIsExpected)
+{
+	struct {
+		const char *version, *expect, *response;
+	} rows[] = {
+		{"1.1", "100-Continue", "HTTP/1.1 100"},
+		{"1.1", "other", ""},
+		{"1.0", "100-continue", ""},
+	};
+
+	for (auto &row : rows) {
+		Server s;
+		int fd = s.connect();
+
+		EXPECT_EQ(s.exchange(fd,
+				     std::string("POST /1 HTTP/") +
+					     row.version +
+					     "\r\nHost: x\r\nExpect: " +
+					     row.expect +
+					     "\r\nContent-Length: 1\r\n\r\n")
+				  .substr(0, 12),
+			  row.response);
+		close(fd);
+	}
+}
+
 TEST(Server, ReportsDisconnectWhileRequestWaits)
 {
 	Server s;
