--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -1262,6 +1262,27 @@
     assert r.status == 503 and executions(d, rid) == 0, r.status
 
 
+# The same for streams.
+async def test_refuses_waiting_streams_late_in_the_grace(d):
+    await start_with_targets(d, 2000)
+    for e in decode_endpoints(d):
+        e.event_interval_s = 0.06
+        e.holds_to_refuse = 1000000
+    kept = await connect(d)
+    d.hosts[0].signal(signal.SIGTERM)
+    await asyncio.sleep(1)
+    call = asyncio.ensure_future(send_on(
+        d, kept, "stream", tokens=(3000, 400), deadline_ms=20000))
+    await asyncio.sleep(2.5)
+    assert not call.done(), "does not wait"
+    await asyncio.sleep(1.9)
+    for e in decode_endpoints(d):
+        e.holds_to_refuse = 0
+    rid, r = await call
+    assert r.status == 503 and executions(d, rid) == 0, r.status
+    assert float(r.headers["retry-after"]) < 0.5
+
+
 # Guards against a request that is still being received when its host ends, and
 # whose caller learns nothing.
 async def test_refuses_slow_bodies_at_the_end_of_the_grace(d):
