retries: an attempt that was not sent leaves its retry to the next one

Callers got 502 for an idempotent request whose first endpoint broke off and whose second could not be connected to, although a third attempt would have been within the retry budget: the attempt that reached nobody had used the retry up. With engines of one machine lost together this cuts resumable streams, too.

Change: a failed connection takes no retry from the budget, for a first attempt as before, and for a later one, whose retry goes to the next attempt.

Before: a_failed_connection_uses_up_no_retry fails (1 of 1 run, 502 after 0 ms). After: it passes, 2 of 2 runs. Streams were not run.

--- a/cmd/figbend/gateway/plain.c
+++ b/cmd/figbend/gateway/plain.c
@@ -116,7 +116,8 @@
 		req_fail(r, 502, reason);
 		return;
 	}
-	if (r->failed_attempts && !req_consume_retry(r)) {
+	/* What was not sent leaves its retry, if it was one, to the next. */
+	if (outcome != FLEET_CONNECT_FAILED && !req_consume_retry(r)) {
 		req_refuse(r, reason);
 		return;
 	}
--- a/cmd/figbend/gateway/pools.c
+++ b/cmd/figbend/gateway/pools.c
@@ -388,7 +388,8 @@
 		req_fail(r, 502, reason);
 		return;
 	}
-	if (r->failed_attempts && !req_consume_retry(r)) {
+	/* What was not sent leaves its retry, if it was one, to the next. */
+	if (outcome != FLEET_CONNECT_FAILED && !req_consume_retry(r)) {
 		if (r->response_started)
 			req_fail(r, 502, reason);
 		else
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -323,6 +323,25 @@
     assert full.call_times and slow.executed == [rid], slow.executed
 
 
+# Guards against requests that fail although a retry is left: a connection that could
+# not be opened used it up.
+async def test_a_failed_connection_uses_up_no_retry(d):
+    d.hosts[0].change_settings(retry_ratio=0, retry_slack=3)
+    d.publish_config()
+    first = await d.add_endpoint("plain", "a")
+    second = await d.add_endpoint("plain", "b")
+    await d.start()
+    await d.wait_ready()
+    await second.stop()
+    first.faults = ["reset"]
+    rid, r = await d.request("idempotent")
+    assert r.status == 200, r.status
+    assert executions(d, rid) == 2
+
+
+test_a_failed_connection_uses_up_no_retry.hosts = 1
+
+
 async def test_passes_on_a_stream_of_a_comment(d):
     await start_small(d)
     for e in d.endpoints:
