host_record: a host that stops deletes its record again from a restored store

The record of a host that was about to stop came back with the older copy of the store, and nobody deleted it: other hosts took it for a host to wait for once it had ended. Hosts that run write their records again; those that stop did nothing.

A host that has ended before the store comes back cannot delete its record; others time it out, as after a crash.

--- a/cmd/figbend/gateway/gateway.h
+++ b/cmd/figbend/gateway/gateway.h
@@ -224,7 +224,8 @@
 void host_record_init(struct gateway *g);
 /* Deletes the record, so that peers need no time-out to remove this host. */
 void host_record_delete(struct gateway *g);
-/* Writes the record again if it was written in an earlier era of the store. */
+/* Writes the record again, or deletes it again if this host stops, if that was done
+ * in an earlier era of the store. */
 void host_record_renew(struct gateway *g, uint32_t era);
 /* Stops writing the record. */
 void host_record_finish(struct gateway *g);
--- a/cmd/figbend/gateway/host_record.c
+++ b/cmd/figbend/gateway/host_record.c
@@ -86,7 +86,12 @@
 	if (era <= g->store_era)
 		return;
 	g->store_era = era;
-	if (!g->registered || g->registered_era >= era || g->drain.stopping)
+	if (g->drain.stopping) {
+		if (g->registered_era < era)
+			host_record_delete(g);
+		return;
+	}
+	if (!g->registered || g->registered_era >= era)
 		return;
 	ev_timer_stop(g->loop, &g->register_timer);
 	ev_timer_set(&g->register_timer,
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -925,6 +925,25 @@
     assert keys == {"a/h1", "b/h2"}, keys
 
 
+# Guards against hosts that others take for present for ever: the store came back with
+# the record that they deleted as they began to stop.
+async def test_a_host_that_stops_deletes_its_record_again(d):
+    await start_with_eras(d)
+    copy = d.store.copy()
+    plain_endpoints(d)[1].faults = ["slow"]
+    running = asyncio.ensure_future(d.request("non_idempotent", host=1))
+    await asyncio.sleep(0.3)
+    d.hosts[1].signal(signal.SIGTERM)
+    await asyncio.sleep(0.5)
+    restore(d, copy)
+    await asyncio.sleep(2.5)
+    assert d.hosts[1].process.returncode is None
+    last = {key: value for key, value, _ in d.store.streams["keyed.status"]}
+    assert last["b/h2"] is None, last
+    assert last["a/h1"], last
+    running.cancel()
+
+
 # Guards against endpoints that are used for ever, since the deletion of their entry
 # or the entry itself was lost.
 async def test_drops_endpoints_that_a_restored_store_does_not_have(d):
