--- a/cmd/figbend/gateway/req.c
+++ b/cmd/figbend/gateway/req.c
@@ -669,7 +669,9 @@
 	struct req *r;
 
 	TAILQ_FOREACH(r, &g->reqs, entry)
-	start_deadline(r);
+	{
+		start_deadline(r);
+	}
 }
 
 /* Creates the request and starts its first step. */
--- a/pkg/h1/server.c
+++ b/pkg/h1/server.c
@@ -666,8 +666,10 @@
 	struct h1_conn *c;
 
 	TAILQ_FOREACH(c, &s->conns, entry)
-	if (c->state == H1_READING && !c->closing && !c->broken &&
-	    (c->in_body || request_bytes(c)))
-		reject_with(c, 503, fields,
-			    "request not complete when the host stops");
+	{
+		if (c->state == H1_READING && !c->closing && !c->broken &&
+		    (c->in_body || request_bytes(c)))
+			reject_with(c, 503, fields,
+				    "request not complete when the host stops");
+	}
 }
