peer: a call without memory for its reply is not sent

peer_call() returned -ENOMEM after the message had been queued: the caller took the call for not sent, and the other host carried it out. Cause: the row of the pending call was allocated last. Evidence: Peer.CallWithoutMemoryIsNotSent failed in 1 of 1 runs before (128 bytes queued) and passes after, with the 6 other tests. Change: the row comes first, and goes if the message cannot be queued.

--- a/pkg/peer/peer.c
+++ b/pkg/peer/peer.c
@@ -302,10 +302,18 @@
 	return pc;
 }
 
+static void remove_pending_call(struct peer_pending_call *pc)
+{
+	ev_timer_stop(pc->conn->peer->loop, &pc->timer);
+	TAILQ_REMOVE(&pc->conn->pending, pc, entry);
+	free(pc);
+}
+
 int peer_call(struct peer *p, const char *addr, const struct fig_call *call,
 	      uint32_t timeout_ms, peer_reply_fn on_reply, void *ctx)
 {
 	uint32_t xid = ++p->next_xid;
+	struct peer_pending_call *pc;
 	struct peer_conn *c;
 	uint8_t *bytes;
 	size_t n;
@@ -318,10 +326,10 @@
 	r = wire_seal_call(&p->sealer, xid, call, &bytes, &n);
 	if (r < 0)
 		return r;
-	r = peer_conn_write(c, bytes, n);
+	pc = add_pending_call(c, xid, timeout_ms, on_reply, ctx);
+	r = pc ? peer_conn_write(c, bytes, n) : -ENOMEM;
 	free(bytes);
-	if (r < 0)
-		return r;
-	return add_pending_call(c, xid, timeout_ms, on_reply, ctx) ? 0
-								   : -ENOMEM;
+	if (pc && r < 0)
+		remove_pending_call(pc);
+	return r;
 }
--- a/pkg/peer/test/peer_test.cc
+++ b/pkg/peer/test/peer_test.cc
@@ -12,6 +12,28 @@
 #include "tcp.h"
 }
 
+/* Sizes from which on an allocation fails; 0: none does. */
+static size_t failing_calloc, failing_realloc;
+
+extern "C" {
+void *__real_calloc(size_t n, size_t size);
+void *__real_realloc(void *p, size_t size);
+
+void *__wrap_calloc(size_t n, size_t size)
+{
+	return failing_calloc && size == failing_calloc
+		       ? nullptr
+		       : __real_calloc(n, size);
+}
+
+void *__wrap_realloc(void *p, size_t size)
+{
+	return failing_realloc && size >= failing_realloc
+		       ? nullptr
+		       : __real_realloc(p, size);
+}
+}
+
 namespace
 {
 
@@ -50,6 +72,7 @@
 		int port = 27000 + getpid() % 2000;
 		std::string addr = "127.0.4.77:" + std::to_string(port);
 
+		own_addr = addr;
 		ASSERT_EQ(0, peer_init(&peer, loop, addr.c_str(), "me", kSecret,
 				       peer_wall_clock_ms() * 1000, FailCall,
 				       IgnoreMessage, nullptr));
@@ -88,6 +111,7 @@
 	}
 
 	struct ev_loop *loop;
+	std::string own_addr;
 	struct peer peer;
 	struct wire_sealer sender;
 };
@@ -143,6 +167,23 @@
 	}
 }
 
+/* Guards against a call that is sent and carried out although the caller was told
+ * that it was not. */
+TEST_F(Peer, CallWithoutMemoryIsNotSent)
+{
+	struct fig_call call = {};
+	auto ignore = [](void *, int, const struct fig_reply *) {};
+
+	call.kind = FIG_CONFIG_GET;
+	failing_calloc = sizeof(struct peer_pending_call);
+	EXPECT_EQ(-ENOMEM, peer_call(&peer, own_addr.c_str(), &call, 100,
+				     ignore, nullptr));
+	failing_calloc = 0;
+	ASSERT_EQ(1u, peer.conn_n);
+	EXPECT_EQ(0u, TAILQ_FIRST(&peer.conns)->out.n);
+	EXPECT_EQ(0u, peer.counters.sent);
+}
+
 TEST_F(Peer, ExpiresIdleConnsAndConnsWithUnsentOutput)
 {
 	std::string big(100000, 'x');
