peer: a record is queued as a whole or not at all

With memory short after the mark of a record, the mark stayed in the output, and the other host took what followed for the record's content. Cause: peer_conn_write() appended both one after the other, and left the first if the second failed. Evidence: Peer.RecordWithoutMemoryIsNotSentInPart failed in 1 of 1 runs before (4 bytes queued) and passes after, with the 6 other tests. Change: the output is put back to its length before.

--- a/pkg/peer/tcp.c
+++ b/pkg/peer/tcp.c
@@ -93,12 +93,15 @@
 int peer_conn_write(struct peer_conn *c, const uint8_t *bytes, size_t n)
 {
 	uint32_t mark = htonl(LAST_FRAGMENT | (uint32_t)n);
+	size_t before = c->out.n;
 
 	if (c->out.n + n > OUTPUT_MAX_BYTES)
 		return -ENOBUFS;
 	if (buffer_append(&c->out, &mark, sizeof(mark)) < 0 ||
-	    buffer_append(&c->out, bytes, n) < 0)
+	    buffer_append(&c->out, bytes, n) < 0) {
+		c->out.n = before;
 		return -ENOMEM;
+	}
 	c->peer->counters.sent++;
 	c->peer->counters.sent_bytes += n + RECORD_MARK_BYTES;
 	conn_update_events(c);
--- a/pkg/peer/test/peer_test.cc
+++ b/pkg/peer/test/peer_test.cc
@@ -184,6 +184,22 @@
 	EXPECT_EQ(0u, peer.counters.sent);
 }
 
+/* Guards against a record that lacks its end, after which the other host reads no
+ * further ones. */
+TEST_F(Peer, RecordWithoutMemoryIsNotSentInPart)
+{
+	std::string big(100000, 'x');
+	int fd = Connect();
+	struct peer_conn *c = TAILQ_FIRST(&peer.conns);
+
+	failing_realloc = 50000;
+	EXPECT_EQ(-ENOMEM,
+		  peer_conn_write(c, (const uint8_t *)big.data(), big.size()));
+	failing_realloc = 0;
+	EXPECT_EQ(0u, c->out.n);
+	close(fd);
+}
+
 TEST_F(Peer, ExpiresIdleConnsAndConnsWithUnsentOutput)
 {
 	std::string big(100000, 'x');
