cancel_control: a cancel that cannot be started is repeated

Engine memory stayed held by a run whose caller had hung up, if there were no descriptors or no memory for the cancel at that moment. Cause: the result of engine_start() was ignored, so neither an answer nor a timer followed. Change: it is repeated with the same backoff as one without an answer.

--- a/cmd/figbend/cancel_control.c
+++ b/cmd/figbend/cancel_control.c
@@ -40,17 +40,9 @@
 	free(r);
 }
 
-static void on_response(void *ctx, struct engine_call *c,
-			const struct engine_event *ev)
+/* Repeats the cancel after the backoff, or gives it up and frees it. */
+static void repeat_later(struct cancel_request *r)
 {
-	struct cancel_request *r = ctx;
-
-	if (ev->kind == ENGINE_EV_CANCELLED) {
-		metrics_add(&r->daemon->board.metrics, METRIC_CANCELS_CONFIRMED,
-			    1);
-		cancel_free(r);
-		return;
-	}
 	if (daemon_now_us(r->daemon) - r->created_us > GIVE_UP_US) {
 		logline(LOG_WARNING, "cancel-given-up", "run=%s addr=%s",
 			r->run, r->addr);
@@ -64,6 +56,19 @@
 		r->backoff_s = RETRY_MAX_S;
 }
 
+static void on_response(void *ctx, struct engine_call *c,
+			const struct engine_event *ev)
+{
+	struct cancel_request *r = ctx;
+
+	if (ev->kind != ENGINE_EV_CANCELLED) {
+		repeat_later(r);
+		return;
+	}
+	metrics_add(&r->daemon->board.metrics, METRIC_CANCELS_CONFIRMED, 1);
+	cancel_free(r);
+}
+
 static void send_cancel(struct cancel_request *r)
 {
 	struct engine_order order = {.op = ENGINE_CANCEL,
@@ -73,7 +78,9 @@
 				     .fresh = true};
 
 	metrics_add(&r->daemon->board.metrics, METRIC_CANCELS, 1);
-	engine_start(&r->daemon->engine, &r->call, &order, on_response, r);
+	if (engine_start(&r->daemon->engine, &r->call, &order, on_response, r) <
+	    0)
+		repeat_later(r);
 }
 
 static void on_retry_timer(struct ev_loop *loop, ev_timer *w, int revents)
--- a/test/matrix/fetch_fake.cc
+++ b/test/matrix/fetch_fake.cc
@@ -241,6 +241,11 @@
 	std::string url = q->url;
 	size_t host = url.find("://") + 3;
 	size_t slash = url.find('/', host);
+
+	if (TheNet().fail_cancels && url.substr(slash) == "/cancel") {
+		TheNet().fail_cancels--;
+		return -ENOMEM;
+	}
 	auto t = new fetch_transfer();
 	auto e = std::make_shared<Exchange>();
 	bool is_new;
--- a/test/matrix/matrix.cc
+++ b/test/matrix/matrix.cc
@@ -203,6 +203,46 @@
 	return failed;
 }
 
+/*
+ * Guards against a cancel that is not repeated if it cannot be started, as without
+ * memory or descriptors: its run would stay at the engine. The caller hangs up at
+ * each step.
+ */
+int RunFailedCancels()
+{
+	int failed = 0;
+
+	for (int step = 0; step < kModelSteps; step++) {
+		World w;
+		Verdict v;
+
+		w.strike_at = static_cast<Step>(step);
+		w.strike = [](World &world) {
+			Caller *c = Subject(world);
+
+			if (c->Ended())
+				return;
+			TheNet().fail_cancels = 2;
+			c->gone = true;
+			c->ended_us = TheClock().now_us;
+			ClientHangUp(c->Last());
+		};
+		Submit(w, false);
+		RunToEnd();
+		v.Check(w.struck, "the step was not reached");
+		CheckAll(w, &v);
+		TheNet().fail_cancels = 0;
+		if (v.text().empty())
+			continue;
+		printf("FAILED: cancels that cannot be started at %s: %s\n",
+		       kStepNames[step], v.text().c_str());
+		failed++;
+	}
+	printf("cancels that cannot be started: %d of %d steps failed\n",
+	       failed, kModelSteps);
+	return failed;
+}
+
 int RunMatrix()
 {
 	std::vector<std::pair<std::string, std::string>> against;
@@ -298,6 +338,7 @@
 		return 2;
 	}
 	failed = matrix::RunPlanted();
+	failed += matrix::RunFailedCancels();
 	failed += matrix::RunMatrix();
 	failed += matrix::RunPairs(pairs);
 	return failed ? 1 : 0;
--- a/test/matrix/net.h
+++ b/test/matrix/net.h
@@ -76,6 +76,7 @@
 	std::set<std::string> cut_from_platform; /* domains */
 	uint32_t lose_messages = 0;   /* the next datagrams are lost */
 	uint32_t double_messages = 0; /* the next datagrams come twice */
+	uint32_t fail_cancels = 0;    /* the next cancels cannot be started */
 	uint64_t seen_not_json = 0;
 
 	bool Reachable(const std::string &domain, const Server &s) const;
