soak: a store that comes back from an older copy, silent engines, odd entries

New faults: the store comes back from a copy up to 6 s old, at times twice, beside hosts that are paused, stopped or killed and stores that are refused, after a row of new configurations; decode endpoints are silent for 1 to 1.8 s in their streams; odd entries of another writer, and an endpoint that drains right after. Each kind occurs once before one occurs twice.

New checks: config, revert, told, whole, ended; leaving holds across restorations, for each process whose log shows that it knew.

The odd entries move from the pools tests to the stand-ins. A store that comes back from a copy before its first offset no longer answers 410 for ever.

--- a/Makefile
+++ b/Makefile
@@ -64,10 +64,12 @@
 format-check:
 	@clang-format --dry-run --Werror $(SOURCES)
 
-# Faults against real processes, two seeds; more by hand, see test/soak/soak.py.
+# Faults against real processes, two seeds of 3 hosts beside two of 8, some of which
+# get their records from others; more by hand, see test/soak/soak.py.
 soak: all
-	@test/soak/soak.py $(BUILD)/cmd/figbend/figbend --seed 1 --seeds 2 --minutes 0.15
-	@test/soak/soak.py $(BUILD)/cmd/figbend/figbend --seed 120 --seeds 2 --minutes 0.15
+	@FIGBEND_TEST_NET=22 test/soak/soak.py $(BUILD)/cmd/figbend/figbend --seed 1 --seeds 2 --minutes 0.15 & a=$$!; \
+	test/soak/soak.py $(BUILD)/cmd/figbend/figbend --seed 120 --seeds 2 --hosts 8 --minutes 0.15; b=$$?; \
+	wait $$a && exit $$b
 
 lint: all
 	@git ls-files -co --exclude-standard 'pkg/*.c' 'cmd/*.c' | grep -v '/gen/' | xargs -P $(JOBS) -n 4 clang-tidy -p $(BUILD) --quiet 2>&1 | { grep -v "warnings generated" || true; }; exit $${PIPESTATUS[1]}
--- a/test/pools/deployment.py
+++ b/test/pools/deployment.py
@@ -23,6 +23,7 @@
         self.settings_path = os.path.join(tmp, f"{self.name}.jsonc")
         self.log_path = os.path.join(tmp, f"{self.name}.log")
         self.process = None
+        self.log_start = 0  # of the process, in bytes
         self.settings = {}
         settings = {
             "host": self.name, "domain": domain,
@@ -44,6 +45,7 @@
 
     async def start(self):
         out = open(self.log_path, "ab")
+        self.log_start = out.tell()
         self.process = await asyncio.create_subprocess_exec(
             self.binary, "--pools", self.settings_path, stdout=out, stderr=out)
         out.close()
@@ -53,6 +55,12 @@
         with open(self.log_path, errors="replace") as f:
             return f.read()
 
+    def log_of_process(self, start=0):
+        """Returns what the present process has logged, from byte start on."""
+        with open(self.log_path, errors="replace") as f:
+            f.seek(max(start, self.log_start))
+            return f.read()
+
     def signal(self, number):
         if self.process and self.process.returncode is None:
             self.process.send_signal(number)
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -19,6 +19,7 @@
 import time
 
 from deployment import CALLERS_PORT, METRICS_PORT, Deployment, read_response
+from standins import odd_entries
 
 
 async def start_small(d, hosts=True):
@@ -587,35 +588,11 @@
     assert len(d.endpoints[0].received) == before
 
 
-def odd_entries(d):
-    """Entries of another writer: their keys and values."""
-    good = d.endpoints[0].entry()
-    yield "deep", b"[" * 100000
-    yield "deep-object", b'{"Service":' * 20000
-    yield "closed", b"[" * 5000 + b"]" * 5000
-    noise = random.Random(1)
-    yield "large", json.dumps(
-        {**good, "Other": noise.randbytes(450000).hex()}).encode()
-    yield "k" * 255, noise.randbytes(900000)
-    yield "\u20ac" * 85, json.dumps(good).encode()[:-1]
-    for field, text in (("Slots", "1e400"), ("Slots", "-1"), ("Slots", "[]"),
-                        ("Slots", "9" * 400), ("born", "1e308"),
-                        ("born", "-" + "9" * 30), ("Sequence", "1e400"),
-                        ("ColdRemainingMs", "4e18"), ("Stage", "7"),
-                        ("State", '"lost"'), ("Address", '"127.0.0.1:65536"'),
-                        ("Address", '"127.0.0.1:99999999999999999999"'),
-                        ("Address", '"127.0.0.1:0"'), ("Address", '""'),
-                        ("Address", "null"), ("Service", '"' + "s" * 70000 + '"')):
-        row = json.dumps({**good, field: 0}).replace(
-            f'"{field}": 0', f'"{field}": {text}')
-        yield f"odd-{field}-{len(text)}", row.encode()
-
-
 # Guards against hosts that end, or no longer follow the list of endpoints, because
 # another writer left an odd entry in it.
 async def test_odd_entries_do_not_stop_a_host(d):
     await start_small(d)
-    for key, value in odd_entries(d):
+    for key, value in odd_entries(d.endpoints[0].entry()):
         d.store.put("keyed.servers", key, value)
     late = await d.add_endpoint("plain", "a")
     leaving = d.endpoints[0]
--- a/test/pools/standins.py
+++ b/test/pools/standins.py
@@ -118,6 +118,8 @@
         """Comes back from a copy; the connections to the ports break."""
         for topic in self.streams:
             self.streams[topic][:] = copy.get(topic, [])
+            self.first_offset[topic] = min(self.first_offset.get(topic, 0),
+                                           len(self.streams[topic]))
         self.era += 1
         for port in ports:
             for w in list(port.writers):
@@ -224,6 +226,29 @@
         return self.response(200, b"".join(out))
 
 
+def odd_entries(good):
+    """Entries of another writer, from a good one: their keys and values."""
+    yield "deep", b"[" * 100000
+    yield "deep-object", b'{"Service":' * 20000
+    yield "closed", b"[" * 5000 + b"]" * 5000
+    noise = random.Random(1)
+    yield "large", json.dumps(
+        {**good, "Other": noise.randbytes(450000).hex()}).encode()
+    yield "k" * 255, noise.randbytes(900000)
+    yield "\u20ac" * 85, json.dumps(good).encode()[:-1]
+    for field, text in (("Slots", "1e400"), ("Slots", "-1"), ("Slots", "[]"),
+                        ("Slots", "9" * 400), ("born", "1e308"),
+                        ("born", "-" + "9" * 30), ("Sequence", "1e400"),
+                        ("ColdRemainingMs", "4e18"), ("Stage", "7"),
+                        ("State", '"lost"'), ("Address", '"127.0.0.1:65536"'),
+                        ("Address", '"127.0.0.1:99999999999999999999"'),
+                        ("Address", '"127.0.0.1:0"'), ("Address", '""'),
+                        ("Address", "null"), ("Service", '"' + "s" * 70000 + '"')):
+        row = json.dumps({**good, field: 0}).replace(
+            f'"{field}": 0', f'"{field}": {text}')
+        yield f"odd-{field}-{len(text)}", row.encode()
+
+
 class Endpoint(Server):
     """A model engine with a stage ("prefill" or "decode"), or a plain service.
 
@@ -269,6 +294,7 @@
             stage, slots, kv_capacity_tokens)
         self.work_s, self.event_interval_s = work_s, event_interval_s
         self.started_ms = 1700000000000
+        self.sequence = 1  # of its entry
         self.faults = []
         self.silence_s = 1.6
         self.anonymous_refusals = False  # without an Attempt-Id
@@ -314,8 +340,8 @@
         state = state or ("draining" if self.draining else "ready")
         e = {"Service": self.service, "Address": self.addr,
              "Zone": self.domain, "Version": "v1", "Slots": self.slots,
-             "State": state, "ColdRemainingMs": 0, "Sequence": 1,
-             "born": self.started_ms}
+             "State": state, "ColdRemainingMs": 0,
+             "Sequence": self.sequence, "born": self.started_ms}
         if self.stage:
             e["Stage"] = self.stage
             e["Models"] = [{"Name": "m", "Version": 1, "Adapters": []}]
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -5,8 +5,11 @@
                [--keep DIR] [--plant CHECK]
 
 A seeded schedule stops, pauses, kills and restarts hosts, degrades the
-connections to endpoints, injects faults into endpoints and the store, and
-changes the configuration, while callers send requests. Checks:
+connections to endpoints, injects faults into endpoints and the store, lets the
+store come back from an older copy, writes odd entries, and changes the
+configuration, while callers send requests. Each kind of fault occurs once before
+one occurs twice. At the end, some checks are made without other faults, so that
+every run judges them. Checks:
 
 once     a request on the route non_idempotent or stream, which must not be
          retried after an execution, is executed at most once
@@ -14,7 +17,14 @@
 own      a complete response has the content that belongs to its request
 denied   a valid request gets no 400, 401 or 404
 key      endpoints receive the account's name and never an API key
-leaving  a draining endpoint receives no requests
+leaving  a draining endpoint receives no requests, also while the store has come
+         back from an older copy, from a host that knew of it before
+config   a configuration is in force within EFFECT_S at each host that was sound
+         for so long, also after the store came back from an older copy
+told     each host that was sound follows the list of endpoints
+revert   no process goes back to an older configuration
+whole    a stream is whole if nothing broke it; a silent endpoint does not
+ended    no host ends by itself, whatever odd entries the list of endpoints has
 notice   an endpoint that says that it leaves, names a limit or wants nothing for
          a time gets no more than that
 poison   a part of prompts that crashes endpoints is blocked
@@ -27,6 +37,7 @@
 
 import argparse
 import asyncio
+import collections
 import os
 import random
 import signal
@@ -39,33 +50,49 @@
 from deployment import (CALLERS_PORT, LOOPBACK_NET,  # noqa: E402
                         Deployment, read_response)
 from proxy import Proxy  # noqa: E402
+from store_faults import EFFECT_S, SETTLED_S, StoreFaults, Writers  # noqa: E402
 
 ROUTES = ("non_idempotent", "non_idempotent", "idempotent", "stream",
           "resumable")
-# 2 s to stop sending, a heartbeat interval, and a margin for a slow machine.
-DRAIN_GRACE_S = 2.6
 # Crashes until a part of prompts is blocked, and requests on their way then.
 CRASHES_MAX = 5 + 3
 CONCURRENT_CALLERS = 8
+# Streams that need most of their 5 s may reach their deadline.
+STREAM_S = 4.5
+CHECKS = ("own", "once", "refused", "key", "leaving", "told", "config", "revert",
+          "whole", "ended", "held", "notice", "poison")
 
 
-class Soak:
+class Soak(StoreFaults):
     def __init__(self, binary, tmp, seed, hosts, seconds, plant):
         self.random = random.Random(seed)
         self.d = Deployment(binary, tmp, hosts)
         self.seconds, self.plant = seconds, plant
+        self.log = open(os.path.join(tmp, "soak.log"), "w", buffering=1)
         self.proxies, self.faults = [], []
-        self.violations, self.sent, self.completed = [], 0, 0
+        self.violations, self.completed = [], 0
+        self.judged = collections.Counter()
+        self.sent = {}  # id of a request: (host, its process, time)
         self.paused, self.restarting = set(), set()
-        # The last time a host or a connection was disturbed.
-        self.disturbed = 0.
+        # The last time at which a host, a proxy or a host's store was disturbed.
+        self.disturbed = {}
+        self.writers = Writers(self.d, self.random)
+        self.shown, self.copies = {}, []
+        self.over = False
+
+    def note(self, text):
+        """Logs text with the time and the last request's id, which is in the
+        hosts' logs too."""
+        self.log.write(f"{time.monotonic():.2f} {self.d.last_id:016x} {text}\n")
 
     def violation(self, check, text):
+        self.note(f"{check}: {text}")
         self.violations.append(f"{check}: {text}")
 
     async def build(self):
         d = self.d
-        d.publish_config()
+        d.store.era = 1
+        self.publish_config()
         for i, (service, domain, stage) in enumerate(
                 [("plain", "a", None), ("plain", "b", None),
                  ("plain", "a", None), ("model", "a", "prefill"),
@@ -82,8 +109,8 @@
 
     # Callers.
 
-    async def caller(self, end):
-        while time.monotonic() < end:
+    async def caller(self):
+        while not self.over:
             route = self.random.choice(ROUTES)
             tokens = (self.random.randint(100, 6000), 160) \
                 if route in ("stream", "resumable") else None
@@ -98,9 +125,8 @@
         rid, raw = self.d.request_bytes(route, tokens=tokens)
         if self.plant == "key":
             raw = raw.replace(b"\r\n\r\n", b"\r\nLeak: key-one\r\n\r\n", 1)
-        reader, writer = await asyncio.open_connection(host.ip, CALLERS_PORT)
-        writer.write(raw)
-        self.sent += 1
+        start, crashes = time.monotonic(), self.crashes()
+        reader, writer = await self.send(host, rid, raw)
         if self.random.random() < 0.05:
             await asyncio.sleep(self.random.uniform(0, 0.3))
             writer.transport.abort()
@@ -108,6 +134,32 @@
         r = await read_response(reader)
         writer.close()
         self.check_response(rid, route, r)
+        if tokens and crashes == self.crashes():
+            self.check_whole(rid, r, start)
+
+    async def send(self, host, rid, raw):
+        self.sent[rid] = (host, host.process, time.monotonic())
+        reader, writer = await asyncio.open_connection(host.ip, CALLERS_PORT)
+        writer.write(raw)
+        return reader, writer
+
+    def crashes(self):
+        return sum(e.crashes for e in self.d.endpoints)
+
+    def check_whole(self, rid, r, start):
+        runs = [(e, m[4]) for e in self.d.endpoints for m in e.received
+                if m[0] == rid]
+        if not runs or time.monotonic() - start > STREAM_S or \
+                not self.is_sound(self.sent[rid][0], start) or \
+                not all(fault in (None, "silent") and
+                        self.is_sound(self.proxy_of(e), start)
+                        for e, fault in runs):
+            return
+        silent = any(fault for _, fault in runs)
+        self.judged["whole"] += silent
+        if not r.complete or (silent and self.plant == "whole"):
+            self.violation("whole", f"{rid} was cut, status {r.status}, "
+                                    f"{len(r.body)} bytes, silent {silent}")
 
     def check_response(self, rid, route, r):
         executions = sum(e.executed.count(rid) for e in self.d.endpoints)
@@ -117,10 +169,11 @@
                 executions + (self.plant == "once") > 1:
             self.violation(
                 "once", f"{rid} on {route} was executed {executions} times")
-        if r.status in (429, 503) and \
-                route in ("non_idempotent", "stream") and \
-                executions + (self.plant == "refused"):
-            self.violation("refused", f"{rid} got {r.status} and was executed")
+        if r.status in (429, 503) and route in ("non_idempotent", "stream"):
+            self.judged["refused"] += 1
+            if executions + (self.plant == "refused"):
+                self.violation("refused",
+                               f"{rid} got {r.status} and was executed")
         if r.status in (400, 401, 404):
             self.violation("denied", f"{rid} got {r.status}")
         if r.status != 200 or not r.complete:
@@ -140,11 +193,14 @@
         kinds = [self.kill_host, self.pause_host, self.stop_host,
                  self.degrade_connections, self.fail_endpoint, self.fail_store,
                  self.change_config, self.drain_endpoint, self.give_notice,
-                 self.send_poison]
-        tasks = []
-        while time.monotonic() < end:
+                 self.send_poison, self.restore_store, self.silence_endpoint,
+                 self.write_odd_entries]
+        tasks, deck = [], []
+        while time.monotonic() < end or len(self.faults) < len(kinds):
             await asyncio.sleep(self.random.uniform(0.1, 1.0))
-            kind = self.random.choice(kinds)
+            deck = deck or self.random.sample(kinds, len(kinds))
+            kind = deck.pop()
+            self.note(kind.__name__)
             self.faults.append(kind.__name__)
             tasks.append(asyncio.ensure_future(kind()))
         await asyncio.gather(*tasks)
@@ -153,18 +209,20 @@
         host = self.random.choice(self.d.hosts)
         if host in self.restarting:
             return
+        self.note(f"ends {host.name}")
         self.restarting.add(host)
         await host.kill()
         await asyncio.sleep(self.random.uniform(0, 1))
         await host.start()
         self.restarting.discard(host)
-        self.disturbed = time.monotonic()
+        self.disturbed[host] = time.monotonic()
 
     async def stop_host(self):
         host = self.random.choice(self.d.hosts)
         # A paused host may not exit within its stop time.
         if host in self.restarting or host in self.paused:
             return
+        self.note(f"ends {host.name}")
         self.restarting.add(host)
         host.signal(signal.SIGTERM)
         if self.random.random() < 0.3:
@@ -179,18 +237,19 @@
             await host.kill()
         await host.start()
         self.restarting.discard(host)
-        self.disturbed = time.monotonic()
+        self.disturbed[host] = time.monotonic()
 
     async def pause_host(self):
         host = self.random.choice(self.d.hosts)
         if host in self.restarting:
             return
+        self.note(f"pauses {host.name}")
         self.paused.add(host)
         host.signal(signal.SIGSTOP)
         await asyncio.sleep(self.random.uniform(0.2, 3))
         host.signal(signal.SIGCONT)
         self.paused.discard(host)
-        self.disturbed = time.monotonic()
+        self.disturbed[host] = time.monotonic()
 
     async def degrade_connections(self):
         p = self.random.choice(self.proxies)
@@ -200,7 +259,7 @@
             p.reset_all()
         await asyncio.sleep(self.random.uniform(0.2, 3))
         p.mode = "ok"
-        self.disturbed = time.monotonic()
+        self.disturbed[p] = time.monotonic()
 
     async def fail_endpoint(self):
         e = self.random.choice(self.d.endpoints)
@@ -212,57 +271,59 @@
             k=self.random.randint(1, 8))
         e.anonymous_refusals = self.random.random() < 0.5
 
+    async def silence_endpoint(self):
+        """Streams of it stop for a moment and go on."""
+        decoders = [e for e in self.d.endpoints if e.stage == "decode"]
+        n = self.random.choice((1, len(decoders)))
+        for e in self.random.sample(decoders, n):
+            e.silence_s = self.random.uniform(1, 1.8)
+            e.faults += ["silent"] * self.random.randint(1, 8)
+
     async def fail_store(self):
         store = self.random.choice(self.d.host_stores)
         store.mode = self.random.choice(["hang", "refuse", "close"])
+        self.note(f"{store.addr} {store.mode}")
         if self.random.random() < 0.3:
             self.d.store.expire_history("keyed.op")
         for w in list(store.writers):
             w.transport.abort()
         await asyncio.sleep(self.random.uniform(0.5, 4))
         store.mode = "ok"
+        self.disturbed[store] = time.monotonic()
 
     async def change_config(self):
-        for _ in range(self.random.randint(1, 3)):
-            self.d.publish_config()
-            await asyncio.sleep(self.random.uniform(0, 0.2))
-
-    async def drain_endpoint(self):
-        e = self.random.choice(self.d.endpoints)
-        if e.draining:
-            return
-        # Other faults publish the entry too, while the endpoint drains.
-        e.draining = True
-        self.d.store.put_json("keyed.servers", e.name, e.entry())
-        await asyncio.sleep(DRAIN_GRACE_S)
-        before = len(e.received)
-        hosts_up_to_date = not self.paused and not self.restarting and \
-            all(s.mode == "ok" for s in self.d.host_stores)
-        await asyncio.sleep(1)
-        if self.plant == "leaving":
-            before -= 1
-        if hosts_up_to_date and len(e.received) > before:
-            self.violation("leaving", f"{e.name} received "
-                                      f"{len(e.received) - before} requests")
-        e.draining = False
-        self.d.store.put_json("keyed.servers", e.name, e.entry())
+        await self.publish_configs(self.random.randint(0, 2))
+        await self.check_config(self.publish_config())
 
     def is_calm(self, since):
         """Returns true if nothing disturbed hosts and connections since then:
         otherwise they may not know of what an endpoint says."""
-        return (self.disturbed < since and not self.paused and
-                not self.restarting and
-                all(p.mode == "ok" for p in self.proxies))
+        return all(self.is_sound(x, since) for x in
+                   self.d.hosts + self.proxies)
+
+    def is_sound(self, x, since):
+        """The same of one host, proxy or store of a host."""
+        return (self.disturbed.get(x, 0.) < since and x not in self.paused and
+                x not in self.restarting and getattr(x, "mode", "ok") == "ok")
+
+    def proxy_of(self, e):
+        return self.proxies[self.d.endpoints.index(e)]
 
     async def give_notice(self):
-        e = self.random.choice(self.d.endpoints)
+        start = time.monotonic()
+        free = [e for e in self.d.endpoints if not (
+            e.leaving or e.limit or e.retry_after or e.draining)]
+        # One that gets calls, if there is any.
+        e = self.random.choice(
+            [e for e in free if e.call_times and e.call_times[-1] > start - 0.5]
+            or free or [None])
         kind = self.random.choice(["leaving", "limit", "retry_after"])
-        if e.leaving or e.limit or e.retry_after or e.draining:
+        if not e:
             return
-        start, n = time.monotonic(), len(e.call_times)
+        n = len(e.call_times)
         setattr(e, kind, {"leaving": True, "retry_after": "3",
                           "limit": self.random.uniform(0.5, 3)}[kind])
-        await asyncio.sleep(DRAIN_GRACE_S)
+        await asyncio.sleep(EFFECT_S)
         calls, calm = e.call_times[n:], self.is_calm(start)
         told = calls[0] + 1 if calls else 0
         late = [t for t in calls if t > told]
@@ -277,31 +338,50 @@
             calm = self.is_calm(start)
         if self.plant == "notice":
             late, calm = late + [0.] * 100, True
+        self.judged["notice"] += bool(calls and calm)
         if calls and calm and len(late) > most:
             self.violation("notice", f"{e.name} got {len(late)} calls after "
                                      f"{kind}, {most:.0f} allowed")
         e.leaving, e.limit, e.retry_after = False, None, None
         e.started_ms += 1
-        self.d.store.put_json("keyed.servers", e.name, e.entry())
+        self.writers.write_entry(e)
 
     async def send_poison(self):
         """Requests with a part of their prompts that crashes endpoints."""
         start = time.monotonic()
-        before = sum(e.crashes for e in self.d.endpoints)
+        before = self.crashes()
         for i in range(16):
+            rid, raw = self.d.request_bytes(
+                "stream", tokens=(300, 16), parts=("a", "dead"),
+                body=b"%d" % i)
             try:
-                await self.d.request("stream", host=i % len(self.d.hosts),
-                                     tokens=(300, 16), parts=("a", "dead"),
-                                     body=b"%d" % i, timeout_s=6)
+                reader, writer = await self.send(
+                    self.d.hosts[i % len(self.d.hosts)], rid, raw)
+                await asyncio.wait_for(read_response(reader), 6)
+                writer.close()
             except (OSError, asyncio.TimeoutError):
                 pass
-        crashes = sum(e.crashes for e in self.d.endpoints) - before
+        crashes = self.crashes() - before
         crashes += CRASHES_MAX * (self.plant == "poison")
         if (self.is_calm(start) or self.plant) and crashes > CRASHES_MAX:
             self.violation("poison", f"{crashes} crashes by one part")
 
     # After the faults.
 
+    async def check_calm(self):
+        """What every run judges, whatever its schedule was."""
+        for e in self.d.endpoints:
+            e.faults = {"decode": ["silent"] * 8,
+                        None: ["overloaded"] * 12}.get(e.stage, [])
+            e.limit, e.retry_after = None, None
+        await asyncio.gather(
+            self.give_notice(), self.check_config(self.publish_config()),
+            asyncio.sleep(self.writers.settled_at + SETTLED_S -
+                          time.monotonic()))
+        await asyncio.gather(self.write_odd_entries(every=True, restored=True),
+                             self.publish_configs(6))
+        await self.check_config(self.publish_config())
+
     def check_endpoints(self):
         for e in self.d.endpoints:
             for rid, headers, _, body, _ in e.received:
@@ -329,12 +409,15 @@
         try:
             await self.build()
             end = time.monotonic() + self.seconds
-            await asyncio.gather(self.inject_faults(end), *(
-                self.caller(end + 1) for _ in range(CONCURRENT_CALLERS)))
+            traffic = [asyncio.ensure_future(self.watch())] + [
+                asyncio.ensure_future(self.caller())
+                for _ in range(max(CONCURRENT_CALLERS, len(self.d.hosts) // 3))]
+            await self.inject_faults(end)
             for p in self.proxies:
                 p.mode = "ok"
-            for e in self.d.endpoints:
-                e.faults, e.limit, e.retry_after = [], None, None
+            await self.check_calm()
+            self.over = True
+            await asyncio.gather(*traffic)
             await self.check_recovery()
             self.check_endpoints()
         finally:
@@ -352,9 +435,7 @@
     parser.add_argument("--hosts", type=int, default=3)
     parser.add_argument("--keep",
                         help="directory for the hosts' logs of failed seeds")
-    parser.add_argument("--plant", choices=["own", "once", "refused", "key",
-                                            "leaving", "held", "notice",
-                                            "poison"])
+    parser.add_argument("--plant", choices=CHECKS)
     options = parser.parse_args()
     failed = 0
     for seed in range(options.seed, options.seed + options.seeds):
@@ -363,8 +444,9 @@
                     options.minutes * 60, options.plant)
         asyncio.run(soak.run())
         failed += bool(soak.violations)
-        print(f"seed {seed}: {soak.sent} requests, {soak.completed} complete "
+        print(f"seed {seed}: {len(soak.sent)} requests, {soak.completed} complete "
               f"responses, {len(soak.faults)} faults, "
+              f"judged {dict(soak.judged)}, "
               f"{len(soak.violations)} violations", flush=True)
         for line in soak.violations[:5]:
             print(f"  {line}")
