--- a/cmd/figbend/gateway/store_apply.c
+++ b/cmd/figbend/gateway/store_apply.c
@@ -360,10 +360,15 @@
 	fleet_remove(&g->fleet, key, position, 0, gateway_now_us(g));
 }
 
-/* See gateway.h. Only entries of endpoints are held. */
+/*
+ * See gateway.h. Only entries of endpoints are held. The store may have come back
+ * once more: those of an era that the stream has not entered yet have a time of their
+ * own.
+ */
 void store_apply_held(struct gateway *g)
 {
 	struct records *r = &g->records[ADAPTER_ENDPOINTS];
+	int64_t era = g->reader[ADAPTER_ENDPOINTS].present_era;
 	char reason[ADAPTER_REASON_BYTES];
 	struct fleet_entry entry;
 	uint32_t i;
@@ -371,7 +376,7 @@
 	for (i = 0; i < r->n; i++) {
 		struct record *row = &r->row[i];
 
-		if (!row->held)
+		if (!row->held || (int64_t)record_era(row->position) > era)
 			continue;
 		row->held = false;
 		if (adapter_read_endpoint(row->key, row->value,
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -891,6 +891,32 @@
     assert drained.received, "not used again"
 
 
+# Guards against a return to an older entry, from the second of two older copies, at
+# the time at which the entries of the first are no longer doubted (soak, seed 1).
+async def test_a_store_restored_twice_undoes_nothing(d):
+    await start_with_eras(d)
+    for i in range(40):
+        d.store.put("keyed.servers", f"x{i}", b"x" * 2000)
+    copy = d.store.copy()
+    leaving = plain_endpoints(d)[0]
+    leaving.draining, leaving.sequence = True, 5
+    d.store.put_json("keyed.servers", leaving.name, leaving.entry())
+    await asyncio.sleep(1)
+    restore(d, copy)
+    await asyncio.sleep(0.3)
+    d.store.put_json("keyed.servers", leaving.name, leaving.entry())
+    await asyncio.sleep(4.3)
+    leaving.received.clear()
+    # The snapshot takes longer than the rest of the time.
+    d.store.read_bytes_per_s = 120000
+    restore(d, copy)
+    for _ in range(30):
+        assert await serves(d, 0, "idempotent") and await serves(
+            d, 1, "idempotent")
+        assert not leaving.received, "sent to an endpoint that leaves"
+        await asyncio.sleep(0.05)
+
+
 # Guards against hosts that start after the store came back and find no other: what
 # the hosts themselves wrote is lost too.
 async def test_hosts_write_their_records_again_to_a_restored_store(d):
