--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -341,6 +341,29 @@
 
 
 test_a_failed_connection_uses_up_no_retry.hosts = 1
+# Guards against streams that leave a silent engine, which would have gone on, and are
+# cut since the others refuse them (soak, seed 501 with 40 hosts).
+async def test_a_stream_that_left_a_silent_engine_is_whole_if_others_refuse(d):
+    for h in d.hosts:
+        h.change_settings(retry_ratio=0, retry_slack=8)
+    await start_small(d)
+    await d.add_endpoint("model", "a", "decode")
+    await asyncio.sleep(0.5)
+    for e in d.endpoints:
+        if e.stage == "decode":
+            e.faults = ["silent"]
+    rid, raw = d.request_bytes("resumable", tokens=(3000, 160))
+    reader, writer = await asyncio.open_connection(d.hosts[0].ip, CALLERS_PORT)
+    writer.write(raw)
+    while not executions(d, rid):
+        await asyncio.sleep(0.02)
+    for e in d.endpoints:
+        if e.stage == "decode" and rid not in e.executed:
+            e.faults, e.holds_to_refuse = ["overloaded"] * 2, 1
+    r = await read_response(reader)
+    writer.close()
+    assert r.status == 200 and r.complete, (r.status, r.body)
+    assert r.body == expected_events(rid, 20), r.body
 
 
 async def test_passes_on_a_stream_of_a_comment(d):
@@ -640,6 +663,28 @@
 
 test_follows_a_list_of_many_long_keys.hosts = 6
 test_follows_a_list_of_many_long_keys.domains = ("a",)
+# Guards against hosts of many that know only a part of the others when they have
+# just started, and whose readers do not send them what is new (soak, seed 500 with 40
+# hosts).
+async def test_a_configuration_right_after_many_hosts_started_is_in_force(d):
+    await start_small(d)
+
+    async def hosts_without(route):
+        await asyncio.sleep(2)
+        return [f"{h.name} {route}" for h in d.hosts if (await d.request(
+            route, host=h.n - 1, key="unknown"))[1].status != 401]
+
+    tasks = []
+    for i in range(4):
+        d.routes.append(d.route(f"added-{i}", "idempotent", "plain", attempts=2))
+        d.publish_config()
+        tasks.append(asyncio.ensure_future(hosts_without(f"added-{i}")))
+        await asyncio.sleep(0.3)
+    late = sum(await asyncio.gather(*tasks), [])
+    assert not late, late
+
+
+test_a_configuration_right_after_many_hosts_started_is_in_force.hosts = 40
 
 
 async def test_gets_a_configuration_from_another_host(d):
