--- a/cmd/figbend/gateway/host_record.c
+++ b/cmd/figbend/gateway/host_record.c
@@ -18,7 +18,6 @@
 static enum h1_verdict on_register_head(void *ctx, const struct h1_head *h)
 {
 	struct gateway *g = ctx;
-
 	int64_t era = adapter_read_era(h);
 
 	g->registered = h->status == 200;
