pools: a test waits for the output of a stream, not for a time

Traced: the other request has no room once the long stream has sent 494 events; the test sent it after 2 s, and the stream took 4.16 s for its 1,000 events on the busy machine, some 470 by then. With an endpoint that takes 4.2 ms for an event in place of 3 the old test fails, 2 of 2 runs, on a quiet machine too. The test now sends it after 700 events; its checks stay. 3 of 3 pass.

--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -2111,14 +2111,22 @@
     evicted streams and prefilled them again."""
     e = await start_one_decoder(d, kv_capacity_tokens=90000,
                                 event_interval_s=0.003)
-    long = asyncio.ensure_future(d.request(
-        "stream", tokens=(30000, 8000), fields={"Length-Hint": "16"}))
-    await asyncio.sleep(2)
+    long_rid, raw = d.request_bytes("stream", tokens=(30000, 8000),
+                                    fields={"Length-Hint": "16"})
+    reader, writer = await asyncio.open_connection(d.hosts[0].ip, CALLERS_PORT)
+    parts = []
+    writer.write(raw)
+    long = asyncio.ensure_future(read_response(reader, parts.append))
+    # The other request has no room once 500 events of 8 tokens have come.
+    while b"".join(parts).count(b"id: ") < 700:
+        assert not long.done()
+        await asyncio.sleep(0.02)
     assert e.executed and not e.completed
     rid, r = await d.request("stream", tokens=(6000, 80))
     assert r.status == 200
-    assert e.completed == [(await long)[0], rid], \
-        "did not wait for free memory"
+    assert (await long).complete
+    writer.close()
+    assert e.completed == [long_rid, rid], "did not wait for free memory"
 
 
 async def metrics_page(d, path, host=0):
