pools: a handle that cannot be read is not used

Cause: read_handle() copied the handle out before it checked its characters and left the rejected one there. prefill_failed() dropped the handle's endpoint and kept the handle; start_decode() took it for a prefill result, and req_send() read the endpoint, NULL. Class of fault: an output used although the call that fills it failed. On the related path, a rejected id of a reservation was sent to the next endpoint, in Kv-Hold or in the path of its release.

The handle goes with its endpoint. A 200 that cannot be read is a failure of the endpoint, not a refusal. The fuzz target of the adapter checks the same.

--- a/cmd/figbend/gateway/pools.c
+++ b/cmd/figbend/gateway/pools.c
@@ -44,6 +44,7 @@
 #define UNSENT_MAX_BYTES 262144
 /* Longest response to a reservation or a prefill, a short document. */
 #define STEP_RESPONSE_MAX_BYTES 16384
+#define MALFORMED_REASON "malformed response"
 /* Longest comments before the first event of a stream. */
 #define COMMENTS_MAX_BYTES 65536
 /* A stream that outgrows its counted memory is counted this far ahead of its
@@ -203,10 +204,13 @@
 	struct req *r = ctx;
 
 	req_set_step_timer(r, 0);
-	if (outcome == H1_COMPLETE && r->status == 200 &&
-	    adapter_read_reservation(h1_buf_data(&r->body),
-				     h1_buf_len(&r->body),
-				     r->reservation) == 0) {
+	if (outcome == H1_COMPLETE && r->status == 200) {
+		if (adapter_read_reservation(h1_buf_data(&r->body),
+					     h1_buf_len(&r->body),
+					     r->reservation) < 0) {
+			reservation_denied(r, FLEET_FAILED, MALFORMED_REASON);
+			return;
+		}
 		stats_add(&r->g->stats, STATS_RESERVATIONS, 1);
 		fleet_record_capacity(r->endpoint, r->sent_us);
 		start_prefill(r);
@@ -267,6 +271,7 @@
 	r->prefill_counted = false;
 	fleet_unref(r->prefill_endpoint);
 	r->prefill_endpoint = NULL;
+	r->prefill_handle[0] = '\0';
 	/* A second prefill would count as a retry; the decode endpoint can
 	 * process the prompt instead. */
 	r->skip_prefill = true;
@@ -288,15 +293,18 @@
 		prefill_failed(r, FLEET_FAILED, reason);
 		return;
 	}
-	if (r->status != 200 ||
-	    adapter_read_prefill(h1_buf_data(&r->body), h1_buf_len(&r->body),
-				 r->prefill_handle) < 0) {
+	if (r->status != 200) {
 		prefill_failed(r,
 			       r->status == 421 ? FLEET_MISDIRECTED
 						: FLEET_OVERLOADED,
 			       "refused");
 		return;
 	}
+	if (adapter_read_prefill(h1_buf_data(&r->body), h1_buf_len(&r->body),
+				 r->prefill_handle) < 0) {
+		prefill_failed(r, FLEET_FAILED, MALFORMED_REASON);
+		return;
+	}
 	r->prompt_processed = true;
 	stats_add(&r->g->stats, STATS_PREFILLS, 1);
 	stats_observe(&r->g->stats, STATS_PREFILL_S, now_us - r->sent_us);
--- a/fuzz/adapter.c
+++ b/fuzz/adapter.c
@@ -1,4 +1,5 @@
 #include <stdint.h>
+#include <stdlib.h>
 
 #include "adapter.h"
 
@@ -56,8 +57,11 @@
 		read_head(text, n - 1);
 		break;
 	case 4:
-		adapter_read_reservation(text, n - 1, handle);
-		adapter_read_prefill(text, n - 1, handle);
+		if (adapter_read_reservation(text, n - 1, handle) < 0 &&
+		    *handle)
+			abort();
+		if (adapter_read_prefill(text, n - 1, handle) < 0 && *handle)
+			abort();
 		break;
 	}
 	return 0;
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -164,6 +164,53 @@
             d, *await d.request("stream", tokens=(3000, 80)))
 
 
+# Bytes that would end a handle where a path, a header or a line ends.
+WRONG_BYTES = [" ", "/", "?", "#", "%", "\r", "\n", "\t", "\x00", "\x7f", "\xe9"]
+
+
+async def requests_beside(d, route, **more):
+    """Sends a request beside calls, all of which must be answered."""
+    calls = [d.request("non_idempotent") for _ in range(4)]
+    await asyncio.gather(*calls[:2])
+    (rid, r), *rest = await asyncio.gather(
+        d.request(route, **more), *calls[2:])
+    assert r.status == 200 and r.complete, r.status
+    assert r.body == expected_events(rid, 10)
+    assert all(answer.status == 200 for _, answer in rest)
+    assert all(h.process.returncode is None for h in d.hosts)
+
+
+# Guards against a process that ends, and all its requests with it, because of one
+# wrong byte in the handle that a prefill endpoint responds with.
+async def test_survives_a_wrong_byte_in_a_prefill_handle(d):
+    await start_small(d)
+    e = next(e for e in d.endpoints if e.stage == "prefill")
+    for e.wrong_byte in WRONG_BYTES:
+        e.faults = ["handle_spoiled"]
+        await requests_beside(d, "stream", tokens=(3000, 80))
+        # Three failures in a row eject it.
+        await requests_beside(d, "stream", tokens=(3000, 80))
+    assert not [m for e in decode_endpoints(d) for m in e.received
+                if any(c in m[1].get("kv-source", "").partition("/")[2]
+                       for c in WRONG_BYTES)]
+
+
+# Guards against a reservation whose id cannot be read and is used nevertheless, in a
+# header or in the path of a call that releases it.
+async def test_does_not_use_a_reservation_with_a_wrong_byte(d):
+    await start_small(d)
+    for wrong in WRONG_BYTES:
+        for e in decode_endpoints(d):
+            e.wrong_byte, e.holds_to_spoil = wrong, 1
+        await requests_beside(d, "stream", tokens=(3000, 80))
+        for e in decode_endpoints(d):
+            assert not [t for t in e.targets if "hold-drop" in t and
+                        any(c in t.rpartition("/")[2] for c in WRONG_BYTES)]
+            assert not [m for m in e.received
+                        if any(c in m[1].get("kv-hold", "")
+                               for c in WRONG_BYTES)]
+
+
 async def test_ends_a_head_without_end_at_once(d):
     await start_small(d)
     for fault in ("endless_head", "endless_interim"):
--- a/test/pools/standins.py
+++ b/test/pools/standins.py
@@ -263,6 +263,7 @@
                       one, before the response
     "reset"           connection reset; executed, except for a prefill
     "handle_missing"  the prefill result cannot be imported
+    "handle_spoiled"  wrong_byte stands in the handle of the prefill result
     Plain services only:
     "slow"            responds after 5 s
     "truncate"        body incomplete, then the connection closes
@@ -299,6 +300,8 @@
         self.silence_s = 1.6
         self.anonymous_refusals = False  # without an Attempt-Id
         self.holds_to_refuse = 0
+        self.holds_to_spoil = 0  # wrong_byte stands in their ids
+        self.wrong_byte = " "
         self.refusals = {}  # connection: its last refusal
         self.limit = None  # named in all responses, in requests a second
         self.leaving = False  # said in all responses
@@ -306,6 +309,7 @@
         # While set, all requests get 503 with this Retry-After, as text.
         self.retry_after = None
         self.call_times = []  # of all requests, control calls included
+        self.targets = []  # the same
         self.received = []  # (request id, headers, target, body, fault)
         self.executed = []  # ids of requests whose execution started
         self.completed = []  # ids of requests with a complete response
@@ -360,6 +364,7 @@
 
     async def handle(self, reader, writer, method, target, headers, body):
         self.call_times.append(time.monotonic())
+        self.targets.append(target)
         expected = headers.get("expected-instance")
         if expected and expected != self.name:
             writer.write(self.http_response(421, b"", {"Instance-Id": self.name}))
@@ -391,6 +396,9 @@
             self.holds_to_refuse = max(0, self.holds_to_refuse - 1)
             return self.refuse(writer)
         reservation = "%016x" % random.getrandbits(64)
+        if self.holds_to_spoil:
+            self.holds_to_spoil -= 1
+            reservation = self.spoil(reservation)
         self.reservations[reservation] = (
             request["TokenCount"],
             time.monotonic() + request["TtlMs"] / 1000)
@@ -398,6 +406,9 @@
             200, json.dumps({"Hold": reservation}).encode()))
         return True
 
+    def spoil(self, handle):
+        return handle[:4] + self.wrong_byte + handle[5:]
+
     async def execute(self, reader, writer, target, headers, body):
         rid = headers.get("attempt-id", "")
         fault = self.next_fault()
@@ -438,6 +449,8 @@
         if headers.get("serving-stage") == "prefill":
             await asyncio.sleep(self.work_s)
             handle = "%012x" % random.getrandbits(48)
+            if fault == "handle_spoiled":
+                handle = self.spoil(handle)
             if fault != "handle_missing":
                 self.handles[handle] = rid
             writer.write(self.http_response(200, json.dumps(
