sse: events before a faulty one in the same read are passed on

Cause: sse_feed() returned the number of events or an error in one value. It had moved last_id past the sound events before the faulty one when it returned -EBADMSG; the gateway took that for "no event", kept them as comments, dropped them, and resumed after them. Class of fault: a partial result and an error in one return value. Related path: last_id moved before the event was in the output, so an event was lost if memory ran out.

Change: sse_feed() returns 0 or an error, n_events counts in both cases, and what was released is passed on before the error is looked at.

--- a/cmd/figbend/gateway/pools.c
+++ b/cmd/figbend/gateway/pools.c
@@ -518,11 +518,12 @@
  * them, which are not progress. Comments before the first event are held back
  * until then. Returns NULL, or why the stream has failed.
  */
-static const char *forward(struct req *r, const struct h1_buf *out, int events)
+static const char *forward(struct req *r, const struct h1_buf *out,
+			   bool has_event)
 {
 	const char *reason;
 
-	if (events > 0)
+	if (has_event)
 		record_event(r);
 	if (!r->response_started) {
 		reason = req_buffer_response(r, h1_buf_data(out),
@@ -544,13 +545,15 @@
 {
 	struct req *r = ctx;
 	const char *reason = NULL;
+	uint64_t n_events = r->events.n_events;
 	struct h1_buf out = {0};
-	int count = 0;
+	int error = 0;
 
 	if (is_stream(r)) {
-		count = sse_feed(&r->events, p, n, &out);
+		error = sse_feed(&r->events, p, n, &out);
 		if (h1_buf_len(&out))
-			reason = forward(r, &out, count);
+			reason =
+				forward(r, &out, r->events.n_events > n_events);
 		h1_buf_finish(&out);
 		if (h1_unsent_bytes(r->conn) > UNSENT_MAX_BYTES) {
 			req_fail(r, 502,
@@ -561,7 +564,7 @@
 	} else {
 		reason = req_buffer_response(r, p, n);
 	}
-	if (count < 0)
+	if (error < 0)
 		reason = "event id out of order, or event too large";
 	if (reason)
 		fail_decode(r, reason);
--- a/pkg/sse/sse.c
+++ b/pkg/sse/sse.c
@@ -80,8 +80,6 @@
 int sse_feed(struct sse_parser *p, const void *data, size_t n,
 	     struct h1_buf *out)
 {
-	int count = 0;
-	bool counts;
 	size_t len;
 	int64_t id;
 
@@ -96,15 +94,12 @@
 		id = event_id(event, len);
 		if (id >= 0 && id <= p->last_id)
 			return -EBADMSG;
-		if (id >= 0)
-			p->last_id = id;
-		counts = is_event(event, len);
 		if (h1_buf_append(out, event, len) < 0)
 			return -ENOMEM;
+		if (id >= 0)
+			p->last_id = id;
+		p->n_events += is_event(event, len);
 		h1_buf_consume(&p->partial, len);
-		p->n_events += counts;
-		count += counts;
 	}
-	return h1_buf_len(&p->partial) > SSE_PARTIAL_MAX_BYTES ? -EMSGSIZE
-							       : count;
+	return h1_buf_len(&p->partial) > SSE_PARTIAL_MAX_BYTES ? -EMSGSIZE : 0;
 }
--- a/pkg/sse/sse.h
+++ b/pkg/sse/sse.h
@@ -27,9 +27,11 @@
 void sse_drop_partial(struct sse_parser *p);
 /*
  * Parses n bytes of data and appends the complete events to out, unchanged, and
- * comments that stand apart. Returns the number of events, or -ENOMEM, -EMSGSIZE if an incomplete event exceeds
- * SSE_PARTIAL_MAX_BYTES, or -EBADMSG if an event's id is not greater than
- * last_id. On an error, out may hold the events before the faulty one.
+ * comments that stand apart. Returns 0, or -ENOMEM, -EMSGSIZE if an incomplete
+ * event exceeds SSE_PARTIAL_MAX_BYTES, or -EBADMSG if an event's id is not greater
+ * than last_id. On an error out holds the events before the faulty one, and last_id
+ * and n_events count them: the caller passes them on in either case, or the stream
+ * that resumes after last_id lacks them.
  */
 int sse_feed(struct sse_parser *p, const void *data, size_t n,
 	     struct h1_buf *out);
--- a/pkg/sse/test/sse_test.cc
+++ b/pkg/sse/test/sse_test.cc
@@ -21,9 +21,13 @@
 		sse_finish(&state);
 		h1_buf_finish(&out);
 	}
+	/* Returns the number of events, or the error. */
 	int feed(const std::string &s)
 	{
-		return sse_feed(&state, s.data(), s.size(), &out);
+		uint64_t before = state.n_events;
+		int r = sse_feed(&state, s.data(), s.size(), &out);
+
+		return r < 0 ? r : (int)(state.n_events - before);
 	}
 	std::string text()
 	{
@@ -78,6 +82,18 @@
 	EXPECT_EQ(p.feed("id: 2\ndata: a\n\n"), -EBADMSG);
 }
 
+/* Guards against sound events that are lost because a faulty one follows them in the
+ * same piece of data. */
+TEST(Sse, ReleasesTheEventsBeforeAFaultyOne)
+{
+	Parser p;
+
+	EXPECT_EQ(p.feed("id: 1\ndata: a\n\nid: 0\ndata: b\n\n"), -EBADMSG);
+	EXPECT_EQ(p.text(), "id: 1\ndata: a\n\n");
+	EXPECT_EQ(p.state.n_events, 1u);
+	EXPECT_EQ(p.state.last_id, 1);
+}
+
 TEST(Sse, LimitsTheSizeOfAnIncompleteEvent)
 {
 	Parser p;
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -271,6 +271,25 @@
     assert len(executed) == 2, "not resumed at the other endpoint"
 
 
+# Guards against streams that end as complete and lack the sound events that were read
+# together with one whose id is wrong.
+async def test_keeps_the_events_before_a_wrong_id(d):
+    await start_small(d)
+    for route, tokens in (("resumable", 160), ("stream", 80)):
+        for e in decode_endpoints(d):
+            e.faults = ["spoiled_id"]
+        rid, r = await d.request(route, tokens=(3000, tokens))
+        for e in decode_endpoints(d):
+            e.faults = []
+        assert r.status == 200, r.status
+        if route == "resumable":
+            assert r.complete and r.body == expected_events(rid, 20), r.body
+            assert executions(d, rid) == 2
+        else:
+            assert not r.complete and r.body == expected_events(rid, 1), r.body
+        await asyncio.sleep(0.6)  # the longest first ejection
+
+
 async def check_silent_stream(d):
     """A stream is whole although each of its engines is silent for 1.6 s."""
     for e in d.endpoints:
--- a/test/pools/standins.py
+++ b/test/pools/standins.py
@@ -275,6 +275,8 @@
     "endless_body"    a body without end
     Streams only:
     "truncate_event"  closes within the fourth event, unless resumed
+    "spoiled_id"      writes its first two events together, the second one with
+                      spoiled_id for an id, unless resumed
     "comments"        only comments after the third event, unless resumed
     "silent"          nothing for silence_s after three events, then goes on
     "only_comment"    ends after a comment, without an event
@@ -302,6 +304,7 @@
         self.holds_to_refuse = 0
         self.holds_to_spoil = 0  # wrong_byte stands in their ids
         self.wrong_byte = " "
+        self.spoiled_id = 0
         self.refusals = {}  # connection: its last refusal
         self.limit = None  # named in all responses, in requests a second
         self.leaving = False  # said in all responses
@@ -580,6 +583,12 @@
                     if disconnected.done():
                         return False
                 event = f"id: {i}\ndata: {rid} {i}\n\n".encode()
+                if fault == "spoiled_id" and not last_event_id and i < 3:
+                    if i == 1:
+                        first = event
+                        continue
+                    event = first + event.replace(
+                        b"id: 2", b"id: %d" % self.spoiled_id)
                 truncate = ((fault or "").endswith("truncate_event") and
                             not last_event_id and i == 4)
                 part = event[:-4] if truncate else event
