sse: no resume after an event whose id may be wrong

What callers saw: nothing reported; a test of ours. An engine writes id 9 in place of 2: the caller got events 1, 9 and 10 to 20, and the end of a complete stream.

Cause: the id was passed on as it rose, the next event was out of order, and the stream resumed after the highest id. Which of two ids is wrong was not asked.

Change: an id out of order that would fit before the last one is -EILSEQ, and the stream is cut. Weighed: holding back events whose ids jump; that delays each event of an engine whose ids rise in larger steps.

Before: does_not_resume_after_a_wrong_id fails. After: it passes, and so does Sse.TellsWhetherTheEventBeforeMayBeTheFaultyOne. RejectsAnIdThatDoesNotIncrease began with id 2, twice: the first of them may stand for 1 and is now -EILSEQ, checked in the new test; the test itself begins with id 1 and expects -EBADMSG as before.

--- a/cmd/figbend/gateway/pools.c
+++ b/cmd/figbend/gateway/pools.c
@@ -1,5 +1,6 @@
 #include "req.h"
 
+#include <errno.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -366,9 +367,8 @@
 	       r->has_signature && !r->not_executed;
 }
 
-/* Records a failed attempt to decode, and retries the request or ends it. */
-static void decode_failed(struct req *r, enum fleet_outcome outcome,
-			  bool may_have_executed, const char *reason)
+static void record_decode_failure(struct req *r, enum fleet_outcome outcome,
+				  const char *reason)
 {
 	static const enum stats_counter causes[] = {
 		[FLEET_OVERLOADED] = STATS_WASTED_IMPORT,
@@ -383,6 +383,13 @@
 	if (!r->prefill_handle[0])
 		req_waste_prompt(r, causes[outcome]);
 	fleet_record_outcome(r->endpoint, outcome, now_us - r->sent_us, now_us);
+}
+
+/* Records a failed attempt to decode, and retries the request or ends it. */
+static void decode_failed(struct req *r, enum fleet_outcome outcome,
+			  bool may_have_executed, const char *reason)
+{
+	record_decode_failure(r, outcome, reason);
 	sse_drop_partial(&r->events);
 	req_drop_response(r);
 	if (outcome != FLEET_OVERLOADED)
@@ -411,14 +418,31 @@
 	choose_again(r);
 }
 
-static void fail_decode(struct req *r, const char *reason)
+static void cancel_decode(struct req *r)
 {
 	h1_exchange_cancel(&r->exchange);
 	req_set_step_timer(r, 0);
 	forget_sent(r);
+}
+
+static void fail_decode(struct req *r, const char *reason)
+{
+	cancel_decode(r);
 	decode_failed(r, FLEET_FAILED, true, reason);
 }
 
+/*
+ * Ends a stream of which it is unknown where it could be resumed: the caller would
+ * take it for complete, although events are missing.
+ */
+static void abort_stream(struct req *r, const char *reason)
+{
+	cancel_decode(r);
+	record_decode_failure(r, FLEET_FAILED, reason);
+	r->executions++;
+	req_fail(r, 502, reason);
+}
+
 static enum h1_verdict on_decode_head(void *ctx, const struct h1_head *h)
 {
 	struct req *r = ctx;
@@ -564,6 +588,10 @@
 	} else {
 		reason = req_buffer_response(r, p, n);
 	}
+	if (error == -EILSEQ) {
+		abort_stream(r, "one of two event ids is wrong");
+		return;
+	}
 	if (error < 0)
 		reason = "event id out of order, or event too large";
 	if (reason)
--- a/pkg/sse/sse.c
+++ b/pkg/sse/sse.c
@@ -93,11 +93,13 @@
 			break;
 		id = event_id(event, len);
 		if (id >= 0 && id <= p->last_id)
-			return -EBADMSG;
+			return id > p->previous_id + 1 ? -EILSEQ : -EBADMSG;
 		if (h1_buf_append(out, event, len) < 0)
 			return -ENOMEM;
-		if (id >= 0)
+		if (id >= 0) {
+			p->previous_id = p->last_id > 0 ? p->last_id : 0;
 			p->last_id = id;
+		}
 		p->n_events += is_event(event, len);
 		h1_buf_consume(&p->partial, len);
 	}
--- a/pkg/sse/sse.h
+++ b/pkg/sse/sse.h
@@ -17,6 +17,7 @@
 struct sse_parser {
 	struct h1_buf partial; /* bytes of the event not yet complete */
 	int64_t last_id;       /* highest event id parsed, -1 if none */
+	int64_t previous_id;   /* the one before it, 0 if none */
 	uint64_t n_events;     /* complete events parsed */
 };
 
@@ -29,7 +30,9 @@
  * Parses n bytes of data and appends the complete events to out, unchanged, and
  * comments that stand apart. Returns 0, or -ENOMEM, -EMSGSIZE if an incomplete
  * event exceeds SSE_PARTIAL_MAX_BYTES, or -EBADMSG if an event's id is not greater
- * than last_id. On an error out holds the events before the faulty one, and last_id
+ * than last_id. -EILSEQ stands for the same if the id would fit before last_id: it
+ * is unknown which of the two is wrong, and so after which event the stream could
+ * be resumed. On an error out holds the events before the faulty one, and last_id
  * and n_events count them: the caller passes them on in either case, or the stream
  * that resumes after last_id lacks them.
  */
--- a/pkg/sse/test/sse_test.cc
+++ b/pkg/sse/test/sse_test.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <cerrno>
+#include <sstream>
 #include <string>
 
 extern "C" {
@@ -78,6 +79,7 @@
 {
 	Parser p;
 
+	EXPECT_EQ(p.feed("id: 1\ndata: a\n\n"), 1);
 	EXPECT_EQ(p.feed("id: 2\ndata: a\n\n"), 1);
 	EXPECT_EQ(p.feed("id: 2\ndata: a\n\n"), -EBADMSG);
 }
@@ -94,6 +96,37 @@
 	EXPECT_EQ(p.state.last_id, 1);
 }
 
+/* Guards against a stream that is resumed after a wrong id, and lacks what lies between
+ * the true id and the wrong one. */
+TEST(Sse, TellsWhetherTheEventBeforeMayBeTheFaultyOne)
+{
+	static const struct {
+		const char *ids;
+		int error;
+	} cases[] = {
+		{"1 2 9 4", -EILSEQ}, /* 9 in place of 3 */
+		{"1 2 4 4", -EILSEQ}, /* 4 in place of 3 */
+		{"7 2", -EILSEQ},     /* 7 in place of 1 */
+		{"2 2", -EILSEQ},     /* 2 in place of 1 */
+		{"1 2 3 0", -EBADMSG}, {"1 2 3 3", -EBADMSG},
+		{"1 2 3 1", -EBADMSG}, {"1 0", -EBADMSG},
+		{"1 1", -EBADMSG},     {"0 1 0", -EBADMSG},
+		{"10 20 15", -EILSEQ}, /* steps of 10 */
+	};
+
+	for (auto &c : cases) {
+		std::istringstream ids(c.ids);
+		std::string id;
+		Parser p;
+		int r = 0;
+
+		while (r >= 0 && ids >> id)
+			r = p.feed("id: " + id + "\ndata: a\n\n");
+		EXPECT_EQ(r, c.error) << c.ids;
+		EXPECT_FALSE(ids >> id) << c.ids;
+	}
+}
+
 TEST(Sse, LimitsTheSizeOfAnIncompleteEvent)
 {
 	Parser p;
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -290,6 +290,24 @@
         await asyncio.sleep(0.6)  # the longest first ejection
 
 
+# Guards against streams that end as complete and lack events, since an id that was too
+# high was taken for the place at which to resume.
+async def test_does_not_resume_after_a_wrong_id(d):
+    await start_small(d)
+    for route in ("resumable", "stream"):
+        for e in decode_endpoints(d):
+            e.spoiled_id = 9
+            e.faults = ["spoiled_id"]
+        rid, r = await d.request(route, tokens=(3000, 160))
+        for e in decode_endpoints(d):
+            e.faults = []
+        assert r.status == 200 and not r.complete, r.body
+        assert executions(d, rid) == 1
+        await asyncio.sleep(0.6)  # the longest first ejection
+    rid, r = await d.request("resumable", tokens=(3000, 160))
+    assert r.complete and r.body == expected_events(rid, 20), r.body
+
+
 async def check_silent_stream(d):
     """A stream is whole although each of its engines is silent for 1.6 s."""
     for e in d.endpoints:
