--- a/cmd/figbend/gateway/gateway.h
+++ b/cmd/figbend/gateway/gateway.h
@@ -204,9 +204,11 @@
 void store_apply(struct gateway *g, enum adapter_topic t, const char *key,
 		 const char *value, size_t n, uint64_t position,
 		 const char *source);
-/* A known key that is missing from the stream's snapshot was deleted. */
+/* A known key that is missing from the stream's snapshot was deleted. source is for
+ * the log. */
 void store_apply_missing(struct gateway *g, enum adapter_topic t,
-			 const char *key, uint64_t position);
+			 const char *key, uint64_t position,
+			 const char *source);
 /* A key that the store lost was not written again, and counts as deleted. */
 void store_apply_lost(struct gateway *g, enum adapter_topic t, const char *key,
 		      uint64_t position);
--- a/cmd/figbend/gateway/record_fetch.c
+++ b/cmd/figbend/gateway/record_fetch.c
@@ -82,14 +82,65 @@
 		start_fetch(f->g, h, got->topic, f->directions + 1);
 }
 
+/* The keys that a reply lacks were deleted before it. */
+struct missing {
+	struct gateway *g;
+	enum adapter_topic topic;
+	const char *source;
+};
+
+static void on_missing_key(void *ctx, const char *key, const char *value,
+			   size_t n, uint64_t position)
+{
+	struct missing *m = ctx;
+
+	store_apply_missing(m->g, m->topic, key, position, m->source);
+}
+
+/*
+ * Deletes what the sender knew to be deleted, without a record of it. If this host
+ * has learned all of it in the meantime, there is nothing to delete.
+ */
+static void delete_missing(struct gateway *g, const struct fig_records_got *got,
+			   const char *source)
+{
+	struct records *r = &g->records[got->topic];
+	struct missing m = {g, (enum adapter_topic)got->topic, source};
+	uint32_t i;
+
+	if (r->next_position >= got->upto)
+		return;
+	records_snapshot_start(r, RECORDS_HOST);
+	for (i = 0; i < got->record.record_len; i++)
+		records_snapshot_has(r, RECORDS_HOST,
+				     got->record.record_val[i].key);
+	for (i = 0; i < got->kept.kept_len; i++)
+		records_snapshot_has(r, RECORDS_HOST, got->kept.kept_val[i]);
+	records_snapshot_end(r, RECORDS_HOST, got->upto, on_missing_key, &m);
+}
+
+/* Puts a reply with all records up to a position into effect. */
+static void apply_reply(struct gateway *g, const struct fig_records_got *got,
+			const char *source)
+{
+	bool readable = true;
+	uint32_t i;
+
+	for (i = 0; i < got->record.record_len; i++)
+		readable = apply_record(g, got, i, source) && readable;
+	if (!readable)
+		return;
+	if (got->keeps)
+		delete_missing(g, got, source);
+	store_reader_advance(g, (enum adapter_topic)got->topic, got->upto);
+}
+
 static void on_records(void *ctx, int error, const struct fig_reply *reply)
 {
 	struct fetch *f = ctx;
 	struct gateway *g = f->g;
 	struct relay_host *h = relay_find(&g->relay, f->name);
 	const struct fig_records_got *got;
-	bool readable = true;
-	uint32_t i;
 
 	if (h)
 		h->fetching = false;
@@ -99,14 +150,11 @@
 		return;
 	}
 	got = &reply->fig_reply_u.records_got;
-	for (i = 0; i < got->record.record_len; i++)
-		readable = apply_record(g, got, i, f->name) && readable;
 	if (got->busy)
 		follow(f, got);
-	else if (readable && got->upto)
-		store_reader_advance(g, (enum adapter_topic)got->topic,
-				     got->upto);
-	else if (!got->upto)
+	else if (got->upto)
+		apply_reply(g, got, f->name);
+	else
 		store_reader_poll(g, (enum adapter_topic)got->topic);
 	free(f);
 }
@@ -125,6 +173,7 @@
 	call.fig_call_u.records_get.topic = topic;
 	call.fig_call_u.records_get.from = g->records[topic].next_position;
 	call.fig_call_u.records_get.takes_packed = true;
+	call.fig_call_u.records_get.takes_kept = true;
 	h->fetching = true;
 	if (peer_call(&g->peer, h->addr, &call, FETCH_TIMEOUT_MS, on_records,
 		      f) < 0) {
@@ -157,19 +206,33 @@
 	return r->row[i].value;
 }
 
-/* Returns the bytes of all records from a position on, as they are sent. */
+/* Returns true if the host must be told which keys exist, as this one does not know
+ * all that was deleted since the position that it asked for. */
+static bool must_list_kept(const struct records *r,
+			   const struct fig_records_get *get)
+{
+	return get->from < r->complete_from;
+}
+
+/* Returns the bytes of all records from a position on, as they are sent, and of the
+ * keys of earlier ones if they are. */
 static size_t bytes_to_send(struct records *r,
 			    const struct fig_records_get *get,
 			    uint32_t *n_records)
 {
+	bool lists_kept = must_list_kept(r, get);
 	size_t n, sum = 0;
 	uint32_t i;
 	bool packed;
 
 	*n_records = 0;
 	for (i = 0; i < r->n; i++) {
-		if (r->row[i].position < get->from)
+		if (r->row[i].position < get->from) {
+			if (lists_kept && r->row[i].value)
+				sum += RECORD_FIELDS_BYTES +
+				       strlen(r->row[i].key);
 			continue;
+		}
 		value_to_send(r, i, get->takes_packed, &n, &packed);
 		sum += RECORD_FIELDS_BYTES + strlen(r->row[i].key) + n;
 		(*n_records)++;
@@ -218,10 +281,31 @@
 	return *got->instead ? 0 : -ENOMEM;
 }
 
+/* Lists the keys that exist and have a record before a position. Returns 0 or
+ * -ENOMEM. */
+static int fill_kept(const struct records *r, uint64_t position,
+		     struct fig_records_got *got)
+{
+	uint32_t i;
+
+	got->keeps = true;
+	got->kept.kept_val = calloc(r->n + 1, sizeof(*got->kept.kept_val));
+	if (!got->kept.kept_val)
+		return -ENOMEM;
+	for (i = 0; i < r->n; i++) {
+		if (!r->row[i].value || r->row[i].position >= position)
+			continue;
+		got->kept.kept_val[got->kept.kept_len] = strdup(r->row[i].key);
+		if (!got->kept.kept_val[got->kept.kept_len++])
+			return -ENOMEM;
+	}
+	return 0;
+}
+
 /*
  * Fills a reply to a host: all records from an offset on, none up to offset 0 if
- * they are too large, or that this host is busy. Returns 0 or a negative error
- * number; the caller frees the reply in either case.
+ * they are too large or the host cannot take the reply, or that this host is busy.
+ * Returns 0 or a negative error number; the caller frees the reply in either case.
  */
 static int fill_records(struct gateway *g, const char *host,
 			const struct fig_records_get *get,
@@ -239,7 +323,9 @@
 	if (get->topic == ADAPTER_OPERATORS)
 		most = get->takes_packed ? OPERATORS_MAX_BYTES
 					 : OPERATORS_UNPACKED_MAX_BYTES;
-	if (bytes > most || n > FIG_RECORDS_MAX)
+	if (bytes > most || n > FIG_RECORDS_MAX ||
+	    (must_list_kept(r, get) &&
+	     (!get->takes_kept || r->n > FIG_RECORDS_MAX)))
 		return 0;
 	if (!spread_take(&g->spread, host, r->next_position, bytes,
 			 gateway_now_us(g)))
@@ -261,7 +347,7 @@
 				&got->unpacked_bytes.unpacked_bytes_val[k]) < 0)
 			return -ENOMEM;
 	}
-	return 0;
+	return must_list_kept(r, get) ? fill_kept(r, get->from, got) : 0;
 }
 
 /* See gateway.h. */
--- a/cmd/figbend/gateway/store_apply.c
+++ b/cmd/figbend/gateway/store_apply.c
@@ -323,14 +323,14 @@
 
 /* See gateway.h. */
 void store_apply_missing(struct gateway *g, enum adapter_topic t,
-			 const char *key, uint64_t position)
+			 const char *key, uint64_t position, const char *source)
 {
 	switch (t) {
 	case ADAPTER_OPERATORS:
-		apply_operator_record(g, key, NULL, 0, position, "snapshot");
+		apply_operator_record(g, key, NULL, 0, position, source);
 		break;
 	case ADAPTER_ENDPOINTS:
-		remove_endpoint(g, key, position, "snapshot");
+		remove_endpoint(g, key, position, source);
 		break;
 	case ADAPTER_HOSTS:
 		heartbeat_remove_peer(g, key);
@@ -347,7 +347,7 @@
 	struct fleet_endpoint *e;
 
 	if (t != ADAPTER_ENDPOINTS) {
-		store_apply_missing(g, t, key, position);
+		store_apply_missing(g, t, key, position, "restored");
 		return;
 	}
 	/* No crash: the store lost the entry, whatever became of the endpoint. */
--- a/cmd/figbend/gateway/store_reader.c
+++ b/cmd/figbend/gateway/store_reader.c
@@ -96,6 +96,9 @@
 
 	store_apply(sr->g, sr->topic, key, value, n,
 		    record_position(response_era(sr), offset), "store");
+	if (sr->in_snapshot)
+		records_snapshot_has(&sr->g->records[sr->topic], RECORDS_STORE,
+				     key);
 }
 
 static void on_missing_key(void *ctx, const char *key, const char *value,
@@ -103,7 +106,7 @@
 {
 	struct store_reader *sr = ctx;
 
-	store_apply_missing(sr->g, sr->topic, key, position);
+	store_apply_missing(sr->g, sr->topic, key, position, "snapshot");
 }
 
 /* Nobody wrote the record again after the store came back without it. */
@@ -197,7 +200,7 @@
 {
 	sr->in_snapshot = true;
 	sr->after_key[0] = '\0';
-	records_snapshot_start(&sr->g->records[sr->topic]);
+	records_snapshot_start(&sr->g->records[sr->topic], RECORDS_STORE);
 }
 
 /*
@@ -308,8 +311,8 @@
 	logline(LOG_INFO, "snapshot", "stream=%d era=%u end=%llu", sr->topic,
 		record_era(sr->snapshot_end),
 		(unsigned long long)record_offset(sr->snapshot_end));
-	records_snapshot_end(&sr->g->records[sr->topic], sr->snapshot_end,
-			     on_missing_key, sr);
+	records_snapshot_end(&sr->g->records[sr->topic], RECORDS_STORE,
+			     sr->snapshot_end, on_missing_key, sr);
 	store_reader_advance(sr->g, sr->topic, sr->snapshot_end);
 	sr->in_snapshot = false;
 	return 0;
--- a/pkg/record/record.c
+++ b/pkg/record/record.c
@@ -74,8 +74,6 @@
 	bool known = row != NULL;
 	char *copy = NULL;
 
-	if (row)
-		row->in_snapshot = true;
 	if (row && position <= row->position)
 		return 0;
 	if (value) {
@@ -91,7 +89,6 @@
 		free(copy);
 		return -ENOMEM;
 	}
-	row->in_snapshot = true;
 	set_value(row, copy, copy ? n : 0);
 	row->position = position;
 	row->held = false;
@@ -102,10 +99,7 @@
 {
 	struct record *row = find(r, key);
 
-	if (!row)
-		return;
-	row->in_snapshot = true;
-	if (position > row->position)
+	if (row && position > row->position)
 		row->position = position;
 }
 
@@ -163,23 +157,33 @@
 	return value;
 }
 
-void records_snapshot_start(struct records *r)
+void records_snapshot_start(struct records *r, enum records_source from)
 {
 	uint32_t i;
 
 	for (i = 0; i < r->n; i++)
-		r->row[i].in_snapshot = false;
+		r->row[i].in_snapshot[from] = false;
+}
+
+void records_snapshot_has(struct records *r, enum records_source from,
+			  const char *key)
+{
+	struct record *row = find(r, key);
+
+	if (row)
+		row->in_snapshot[from] = true;
 }
 
-void records_snapshot_end(struct records *r, uint64_t end, record_fn deleted,
-			  void *ctx)
+void records_snapshot_end(struct records *r, enum records_source from,
+			  uint64_t end, record_fn deleted, void *ctx)
 {
 	struct record *row;
 	uint32_t i;
 
 	for (i = 0; i < r->n; i++) {
 		row = &r->row[i];
-		if (row->in_snapshot || !row->value || row->position >= end ||
+		if (row->in_snapshot[from] || !row->value ||
+		    row->position >= end ||
 		    record_era(row->position) != record_era(end))
 			continue;
 		set_value(row, NULL, 0);
@@ -187,7 +191,10 @@
 		row->position = end - 1;
 		deleted(ctx, row->key, NULL, 0, end - 1);
 	}
+	if (end <= r->next_position)
+		return;
 	r->next_position = end;
+	r->complete_from = end;
 }
 
 void records_settle(struct records *r, record_fn deleted, void *ctx)
--- a/pkg/record/record.h
+++ b/pkg/record/record.h
@@ -12,6 +12,11 @@
  * newer. A deleted key keeps its position, so that an older record does not
  * restore it.
  *
+ * A snapshot of the store lacks the keys that were deleted before its end. Whoever
+ * has started from it knows all changes since then, but not which keys existed
+ * before: it can tell another host that was further behind what exists, as a
+ * snapshot of its own, but not what changed.
+ *
  * The store may come back from an older copy. It then gives out offsets again
  * that it gave to records which are lost, in a new era. A position is the era
  * and the offset in it, so that positions never go back.
@@ -38,12 +43,19 @@
 	return position & RECORD_OFFSET_MAX;
 }
 
+/* From whom a snapshot is read; one of each may be in progress. */
+enum records_source {
+	RECORDS_STORE,
+	RECORDS_HOST,
+	RECORDS_SOURCES,
+};
+
 struct record {
 	char key[RECORD_KEY_BYTES];
 	char *value; /* owned; NULL if the key was deleted */
 	size_t value_bytes;
 	uint64_t position;
-	bool in_snapshot; /* seen in the snapshot that is being read */
+	bool in_snapshot[RECORDS_SOURCES]; /* that is being read */
 	/* Not put into effect: what is known by other means is newer. */
 	bool held;
 	/* The value compressed, once it was asked for; owned. */
@@ -64,6 +76,8 @@
 	uint32_t n;
 	uint32_t capacity;
 	uint64_t next_position; /* all records before it have been received */
+	/* All changes from it on are among the records, deletions included. */
+	uint64_t complete_from;
 };
 
 /* Frees all records; r is empty afterwards. */
@@ -101,14 +115,16 @@
  */
 char *record_unpack(const char *packed, size_t n, size_t value_bytes);
 /*
- * Called before and after the records of a snapshot are passed to records_put.
- * records_snapshot_end() deletes the keys that the snapshot lacks, unless their
- * record is at or after the position end or of an earlier era, and calls deleted
- * for each. next_position becomes end.
+ * A snapshot begins, has a key, and ends at the position end. records_snapshot_end()
+ * deletes the keys that the snapshot lacks, unless their record is at or after end
+ * or of another era, and calls deleted for each. All records before end have then
+ * been received.
  */
-void records_snapshot_start(struct records *r);
-void records_snapshot_end(struct records *r, uint64_t end, record_fn deleted,
-			  void *ctx);
+void records_snapshot_start(struct records *r, enum records_source from);
+void records_snapshot_has(struct records *r, enum records_source from,
+			  const char *key);
+void records_snapshot_end(struct records *r, enum records_source from,
+			  uint64_t end, record_fn deleted, void *ctx);
 /*
  * Deletes the keys whose records are of an earlier era than next_position and
  * calls deleted for each: nobody wrote them again. The records keep their
--- a/pkg/record/test/record_test.cc
+++ b/pkg/record/test/record_test.cc
@@ -20,6 +20,22 @@
 		return records_put(&records, key, value,
 				   value ? strlen(value) : 0, offset);
 	}
+	/* Puts a record of a snapshot that is being read. */
+	void list(const char *key, const char *value, uint64_t offset,
+		  enum records_source from = RECORDS_STORE)
+	{
+		put(key, value, offset);
+		records_snapshot_has(&records, from, key);
+	}
+	void start(enum records_source from = RECORDS_STORE)
+	{
+		records_snapshot_start(&records, from);
+	}
+	void end(uint64_t position, enum records_source from = RECORDS_STORE)
+	{
+		records_snapshot_end(&records, from, position, on_deleted,
+				     this);
+	}
 	static void on_deleted(void *ctx, const char *key, const char *, size_t,
 			       uint64_t)
 	{
@@ -47,9 +63,9 @@
 	stream.put("a", "1", 0);
 	stream.put("b", "1", 1);
 	stream.put("new", "1", 9);
-	records_snapshot_start(&stream.records);
-	stream.put("b", "1", 1);
-	records_snapshot_end(&stream.records, 5, Stream::on_deleted, &stream);
+	stream.start();
+	stream.list("b", "1", 1);
+	stream.end(5);
 	EXPECT_EQ(stream.deleted, std::vector<std::string>{"a"})
 		<< "\"new\" is newer than the snapshot";
 	EXPECT_EQ(stream.records.next_position, 5u);
@@ -62,14 +78,61 @@
 	Stream stream;
 
 	stream.put("a", "1", 0);
-	records_snapshot_start(&stream.records);
-	records_snapshot_end(&stream.records, 5, Stream::on_deleted, &stream);
+	stream.start();
+	stream.end(5);
 	EXPECT_EQ(stream.deleted, std::vector<std::string>{"a"});
 	EXPECT_EQ(stream.put("a", "1", 4), 0) << "before the end";
 	EXPECT_EQ(stream.put("a", "2", 5), 1);
 	EXPECT_STREQ(records_find(&stream.records, "a")->value, "2");
 }
 
+/* Guards against hosts that miss a deletion: the host from which they take the records
+ * since a position started from a later snapshot. */
+TEST(Records, KnowFromWhichPositionTheyAreComplete)
+{
+	Stream stream;
+
+	EXPECT_EQ(stream.records.complete_from, 0u);
+	stream.start();
+	stream.list("a", "1", 3);
+	stream.end(5);
+	EXPECT_EQ(stream.records.complete_from, 5u);
+	stream.put("a", NULL, 5);
+	stream.records.next_position = 6;
+	EXPECT_EQ(stream.records.complete_from, 5u);
+	stream.start();
+	stream.list("b", "1", 8);
+	stream.end(9);
+	EXPECT_EQ(stream.records.complete_from, 9u) << "b may have had others";
+	stream.start();
+	stream.end(7);
+	EXPECT_EQ(stream.records.next_position, 9u);
+	EXPECT_EQ(stream.records.complete_from, 9u);
+	EXPECT_TRUE(stream.deleted.empty()) << "b is newer";
+}
+
+/* Guards against a key that a snapshot of the store lacks and that stays, because a
+ * host that is behind sent it meanwhile, and against the opposite. */
+TEST(Records, OfTwoSnapshotsAtOnceAreKeptApart)
+{
+	Stream stream;
+
+	stream.put("deleted", "1", 1);
+	stream.put("present", "1", 2);
+	stream.start(RECORDS_STORE);
+	stream.list("present", "1", 2);
+	stream.start(RECORDS_HOST);
+	stream.list("deleted", "1", 1, RECORDS_HOST);
+	stream.list("present", "1", 2, RECORDS_HOST);
+	stream.list("new", "1", 3, RECORDS_HOST);
+	stream.end(4, RECORDS_HOST);
+	EXPECT_TRUE(stream.deleted.empty());
+	stream.list("new", "1", 3);
+	stream.end(6, RECORDS_STORE);
+	EXPECT_EQ(stream.deleted, std::vector<std::string>{"deleted"});
+	EXPECT_EQ(stream.records.complete_from, 6u);
+}
+
 /* Guards against a record that is taken for an old one, since the store gave its
  * offset out before it came back from an older copy. */
 TEST(Records, OfALaterEraAreNewerAtAnyOffset)
@@ -95,11 +158,11 @@
 	stream.put("again", "1", record_position(1, 6));
 	stream.put("deleted", NULL, record_position(1, 7));
 	stream.put("kept", "2", record_position(1, 8));
-	records_snapshot_start(&stream.records);
-	stream.put("old", "1", record_position(2, 0));
+	stream.start();
+	stream.list("old", "1", record_position(2, 0));
 	records_keep(&stream.records, "kept", record_position(2, 1));
-	records_snapshot_end(&stream.records, record_position(2, 2),
-			     Stream::on_deleted, &stream);
+	records_snapshot_has(&stream.records, RECORDS_STORE, "kept");
+	stream.end(record_position(2, 2));
 	EXPECT_TRUE(stream.deleted.empty());
 	EXPECT_STREQ(records_find(&stream.records, "lost")->value, "1");
 	EXPECT_EQ(stream.put("again", "2", record_position(2, 2)), 1);
--- a/pkg/wire/fig_msg.x
+++ b/pkg/wire/fig_msg.x
@@ -329,10 +329,13 @@
 	unsigned int topic;
 	unsigned hyper from;
 	bool takes_packed; /* since minor 4: compressed values in the reply */
+	bool takes_kept;   /* since minor 5: a reply with keeps set */
 };
 
+typedef string fig_key<255>;
+
 struct fig_record {
-	string key<255>;
+	fig_key key;
 	opaque value<FIG_BODY_MAX>;
 	bool gone;
 	unsigned hyper offset; /* its position */
@@ -348,6 +351,11 @@
 	/* Nothing is sent now; instead has the records or is about to get them. */
 	bool busy;
 	fig_name *instead;
+	/* Since minor 5. If keeps is set, the sender does not know all deletions since
+	 * the position asked for: of the keys with an earlier record, those in kept
+	 * exist, and the others were deleted. */
+	bool keeps;
+	fig_key kept<FIG_RECORDS_MAX>;
 };
 
 union fig_call switch (fig_kind kind) {
--- a/pkg/wire/gen/fig_msg.h
+++ b/pkg/wire/gen/fig_msg.h
@@ -383,11 +383,14 @@
 	u_int topic;
 	u_quad_t from;
 	bool_t takes_packed;
+	bool_t takes_kept;
 };
 typedef struct fig_records_get fig_records_get;
 
+typedef char *fig_key;
+
 struct fig_record {
-	char *key;
+	fig_key key;
 	struct {
 		u_int value_len;
 		char *value_val;
@@ -410,6 +413,11 @@
 	} unpacked_bytes;
 	bool_t busy;
 	fig_name *instead;
+	bool_t keeps;
+	struct {
+		u_int kept_len;
+		fig_key *kept_val;
+	} kept;
 };
 typedef struct fig_records_got fig_records_got;
 
@@ -522,6 +530,7 @@
 extern  bool_t xdr_fig_domain_hosts (XDR *, fig_domain_hosts*);
 extern  bool_t xdr_fig_digest (XDR *, fig_digest*);
 extern  bool_t xdr_fig_records_get (XDR *, fig_records_get*);
+extern  bool_t xdr_fig_key (XDR *, fig_key*);
 extern  bool_t xdr_fig_record (XDR *, fig_record*);
 extern  bool_t xdr_fig_records_got (XDR *, fig_records_got*);
 extern  bool_t xdr_fig_call (XDR *, fig_call*);
@@ -567,6 +576,7 @@
 extern bool_t xdr_fig_domain_hosts ();
 extern bool_t xdr_fig_digest ();
 extern bool_t xdr_fig_records_get ();
+extern bool_t xdr_fig_key ();
 extern bool_t xdr_fig_record ();
 extern bool_t xdr_fig_records_got ();
 extern bool_t xdr_fig_call ();
--- a/pkg/wire/gen/fig_msg_xdr.c
+++ b/pkg/wire/gen/fig_msg_xdr.c
@@ -853,6 +853,18 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->takes_packed))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->takes_kept))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_fig_key (XDR *xdrs, fig_key *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, objp, 255))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -861,7 +873,7 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_string (xdrs, &objp->key, 255))
+	 if (!xdr_fig_key (xdrs, &objp->key))
 		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->value.value_val, (u_int *) &objp->value.value_len, FIG_BODY_MAX))
 		 return FALSE;
@@ -891,6 +903,11 @@
 		 return FALSE;
 	 if (!xdr_pointer (xdrs, (char **)&objp->instead, sizeof (fig_name), (xdrproc_t) xdr_fig_name))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->keeps))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->kept.kept_val, (u_int *) &objp->kept.kept_len, FIG_RECORDS_MAX,
+		sizeof (fig_key), (xdrproc_t) xdr_fig_key))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -1641,6 +1641,49 @@
 test_only_two_hosts_of_a_domain_poll_the_store.domains = ("a",)
 
 
+async def find_passive(d):
+    """Returns the index of the host that leaves the store to the other two."""
+    await asyncio.sleep(2)
+    before = [s.calls for s in d.host_stores]
+    await asyncio.sleep(2)
+    calls = [s.calls - n for s, n in zip(d.host_stores, before)]
+    assert sorted(calls)[0] <= 1 < sorted(calls)[1], calls
+    return calls.index(min(calls))
+
+
+# Guards against a host that goes on to use what was deleted while the hosts from which
+# it gets its records were down: they start from a snapshot, which lacks deletions.
+async def test_learns_of_deletions_while_the_readers_restart(d):
+    gone = await d.add_endpoint("plain", "a")
+    d.store.put_json("keyed.op", "evacuate/b", {"Zone": "b"})
+    await start_small(d)
+    passive = await find_passive(d)
+    others = [h for i, h in enumerate(d.hosts) if i != passive]
+    for h in others:
+        await h.kill()
+    d.store.put("keyed.servers", gone.name, None)
+    d.store.put("keyed.op", "evacuate/b", None)
+    await d.add_endpoint("plain", "a")
+    await asyncio.sleep(0.3)
+    for h in others:
+        await h.start()
+    await d.wait_ready()
+    await asyncio.sleep(1.5)
+    before = len(gone.received)
+    for _ in range(30):
+        assert (await d.request("idempotent", host=passive))[1].status == 200
+    assert len(gone.received) == before, "the endpoint has left"
+    lines = (await metrics_page(d, b"/endpoints", passive)).splitlines()
+    known = {line.split()[0][len("endpoint="):]: line for line in lines}
+    assert set(known) == {e.name for e in d.endpoints if e is not gone}
+    # Domain b was taken back, and what was known before is known as before.
+    assert all("usable=1" in line for line in lines), lines
+
+
+test_learns_of_deletions_while_the_readers_restart.hosts = 3
+test_learns_of_deletions_while_the_readers_restart.domains = ("a",)
+
+
 async def test_reads_each_page_of_the_hosts_once(d):
     """Guards against a snapshot of the hosts that starts anew after each page: with
     the records of 40 hosts that stopped, a page holds five."""
