store_apply: an older entry of an endpoint undoes nothing

Cause: a write of the engine, carried out late by the store, had a later offset than its report of draining and counted as newer. Start and sequence, which tell that it is older, were compared only after a restored store. Class of fault: the order of a log taken for the order of its writers. The same after the entry was removed: the engine came back.

Change: entries are compared whenever they come. An older one takes effect only if it still stands after 5 s, by when an engine that is gone has lost it and one that lives has written again. Each held entry has a time of its own. Unknown starts and sequences do not order.

--- a/cmd/figbend/gateway/gateway.h
+++ b/cmd/figbend/gateway/gateway.h
@@ -59,8 +59,10 @@
 	int64_t present_era; /* of the stream's next position; -1 if none */
 	bool restored; /* that is later than one before, until settle_us */
 	/* After a change of the era, when to drop the records that nobody wrote
-	 * again, and when to put those that are held into effect; 0 if done. */
+	 * again; 0 if done. */
 	int64_t settle_us;
+	/* When to put records that are held into effect, at the earliest; 0 if
+	 * there are none. */
 	int64_t release_us;
 	ev_timer timer; /* starts the next read, or times one out */
 	struct records_lag lag;
@@ -212,8 +214,16 @@
 /* A key that the store lost was not written again, and counts as deleted. */
 void store_apply_lost(struct gateway *g, enum adapter_topic t, const char *key,
 		      uint64_t position);
-/* Puts the entries of endpoints that are held into effect. */
-void store_apply_held(struct gateway *g);
+/* An entry of an endpoint that is older than what is known of the endpoint is put into
+ * effect if it still stands after this time: the store drops the entry of an endpoint
+ * that is gone after three heartbeats, of about 1.2 s each, and one that lives writes
+ * its entry at each of them. */
+#define STORE_APPLY_HOLD_US 5000000LL
+/*
+ * Puts the entries of endpoints that were held for long enough into effect. Returns
+ * when to call it again, or 0 if no entry is held any more.
+ */
+int64_t store_apply_held(struct gateway *g, int64_t now_us);
 /* Returns true if the crash of an endpoint would show in the records. */
 bool store_apply_shows_crashes(const struct gateway *g);
 /* Puts a lower idle timeout into effect when callers know it. */
--- a/cmd/figbend/gateway/store_apply.c
+++ b/cmd/figbend/gateway/store_apply.c
@@ -215,17 +215,19 @@
 }
 
 /*
- * Returns true if the record may be of the older copy from which the store came
- * back, so that what is known of its key may be newer.
+ * Returns true if the operators' record may be of the older copy from which the store
+ * came back, so that what is known of its key may be newer.
  */
-static bool may_be_outdated(const struct gateway *g, enum adapter_topic t,
-			    const char *key, uint64_t position)
+static bool may_be_outdated(const struct gateway *g, const char *key,
+			    uint64_t position)
 {
-	const struct record *row = records_find(&g->records[t], key);
+	const struct store_reader *sr = &g->reader[ADAPTER_OPERATORS];
+	const struct record *row =
+		records_find(&g->records[ADAPTER_OPERATORS], key);
 
 	return row && position > row->position &&
-	       (g->reader[t].restored ||
-		(int64_t)record_era(position) > g->reader[t].present_era);
+	       (sr->restored ||
+		(int64_t)record_era(position) > sr->present_era);
 }
 
 /* Returns true if the configuration is older than the one in force. */
@@ -260,7 +262,7 @@
 {
 	struct records *r = &g->records[ADAPTER_OPERATORS];
 
-	if (may_be_outdated(g, ADAPTER_OPERATORS, key, position) &&
+	if (may_be_outdated(g, key, position) &&
 	    is_older_directory(g, key, value, n)) {
 		log_outdated(ADAPTER_OPERATORS, key, position, source);
 		records_keep(r, key, position);
@@ -270,14 +272,28 @@
 		apply_operator_record(g, key, value, n, position, source);
 }
 
-/* An entry that cannot be read names no endpoint, and counts as deleted. */
+/* Keeps the entry that was put last out of effect for a time. */
+static void hold_endpoint(struct gateway *g, const char *key)
+{
+	struct store_reader *sr = &g->reader[ADAPTER_ENDPOINTS];
+	int64_t until_us = gateway_now_us(g) + STORE_APPLY_HOLD_US;
+
+	records_hold(&g->records[ADAPTER_ENDPOINTS], key, until_us);
+	if (!sr->release_us)
+		sr->release_us = until_us;
+}
+
+/*
+ * An entry that cannot be read names no endpoint, and counts as deleted. One that is
+ * older than what is known of its endpoint comes from an older copy of the store, or
+ * from a write that the store carried out late.
+ */
 static void apply_endpoints(struct gateway *g, const char *key,
 			    const char *value, size_t n, uint64_t position,
 			    const char *source)
 {
 	struct records *r = &g->records[ADAPTER_ENDPOINTS];
 	const struct record *row = records_find(r, key);
-	bool check = may_be_outdated(g, ADAPTER_ENDPOINTS, key, position);
 	char reason[ADAPTER_REASON_BYTES] = "";
 	struct fleet_entry entry;
 
@@ -292,9 +308,9 @@
 	}
 	if (records_put(r, key, value, n, position) <= 0)
 		return;
-	if (check && value && fleet_knows_newer(&g->fleet, &entry)) {
+	if (value && fleet_knows_newer(&g->fleet, &entry)) {
 		log_outdated(ADAPTER_ENDPOINTS, key, position, source);
-		records_hold(r, key);
+		hold_endpoint(g, key);
 		return;
 	}
 	apply_endpoint(g, key, value ? &entry : NULL, position, source);
@@ -360,29 +376,34 @@
 	fleet_remove(&g->fleet, key, position, 0, gateway_now_us(g));
 }
 
-/*
- * See gateway.h. Only entries of endpoints are held. The store may have come back
- * once more: those of an era that the stream has not entered yet have a time of their
- * own.
- */
-void store_apply_held(struct gateway *g)
+/* See gateway.h. An entry of an era that the stream has not entered yet waits for
+ * that. */
+int64_t store_apply_held(struct gateway *g, int64_t now_us)
 {
 	struct records *r = &g->records[ADAPTER_ENDPOINTS];
 	int64_t era = g->reader[ADAPTER_ENDPOINTS].present_era;
 	char reason[ADAPTER_REASON_BYTES];
 	struct fleet_entry entry;
+	int64_t next_us = 0;
 	uint32_t i;
 
 	for (i = 0; i < r->n; i++) {
 		struct record *row = &r->row[i];
 
-		if (!row->held || (int64_t)record_era(row->position) > era)
+		if (!row->held_until_us)
+			continue;
+		if (now_us < row->held_until_us ||
+		    (int64_t)record_era(row->position) > era) {
+			if (!next_us || row->held_until_us < next_us)
+				next_us = row->held_until_us;
 			continue;
-		row->held = false;
+		}
+		row->held_until_us = 0;
 		if (adapter_read_endpoint(row->key, row->value,
 					  row->value_bytes, &entry,
 					  reason) == 0)
 			apply_endpoint(g, row->key, &entry, row->position,
-				       "restored");
+				       "held");
 	}
+	return next_us;
 }
--- a/cmd/figbend/gateway/store_reader.c
+++ b/cmd/figbend/gateway/store_reader.c
@@ -68,10 +68,6 @@
  * again what they wrote; what is missing after this time is taken as gone. Entries of
  * endpoints are back within about 2 s. */
 #define SETTLE_US 2500000LL
-/* A record of the copy that is older than what is known by other means is put into
- * effect if it still stands after this time: the store drops the entry of an endpoint
- * that is gone after three heartbeats, of about 1.2 s each. */
-#define RELEASE_US 5000000LL
 static void start_read(struct store_reader *sr);
 
 static void set_timer(struct store_reader *sr, double after_s)
@@ -146,7 +142,6 @@
 			"stream=%d era=%u before=%lld", sr->topic, era,
 			(long long)before);
 	sr->settle_us = now_us + SETTLE_US;
-	sr->release_us = now_us + RELEASE_US;
 	for (t = 0; t < ADAPTER_TOPICS; t++)
 		if (g->reader[t].present_era < era)
 			read_anew(&g->reader[t]);
@@ -182,17 +177,14 @@
 		if (sr->settle_us && store_is_away(sr))
 			sr->settle_us = now_us + SETTLE_US;
 		if (sr->release_us && store_is_away(sr))
-			sr->release_us = now_us + RELEASE_US;
+			sr->release_us = now_us + STORE_APPLY_HOLD_US;
 		if (sr->settle_us && now_us >= sr->settle_us) {
 			sr->settle_us = 0;
 			sr->restored = false;
 			records_settle(&g->records[t], on_lost_key, sr);
 		}
-		if (sr->release_us && now_us >= sr->release_us) {
-			sr->release_us = 0;
-			if (t == ADAPTER_ENDPOINTS)
-				store_apply_held(g);
-		}
+		if (sr->release_us && now_us >= sr->release_us)
+			sr->release_us = store_apply_held(g, now_us);
 	}
 }
 
--- a/pkg/fleet/fleet.c
+++ b/pkg/fleet/fleet.c
@@ -193,14 +193,24 @@
 	return e;
 }
 
-/* Compares two entries of one id; less than 0 if a is older. */
+/* Compares two entries of one id; less than 0 if a is older, 0 also if that is
+ * unknown. */
 static int compare_age(const struct fleet_entry *a, const struct fleet_entry *b)
 {
+	if (!a->started_ms || !b->started_ms)
+		return 0;
 	if (a->started_ms != b->started_ms)
 		return a->started_ms < b->started_ms ? -1 : 1;
-	if (a->sequence != b->sequence)
-		return a->sequence < b->sequence ? -1 : 1;
-	return 0;
+	if (!a->sequence || !b->sequence || a->sequence == b->sequence)
+		return 0;
+	return a->sequence < b->sequence ? -1 : 1;
+}
+
+static bool is_same_entry(const struct fleet_entry *a,
+			  const struct fleet_entry *b)
+{
+	return a->started_ms && a->started_ms == b->started_ms && a->sequence &&
+	       a->sequence == b->sequence;
 }
 
 bool fleet_knows_newer(const struct fleet *f, const struct fleet_entry *entry)
@@ -212,7 +222,8 @@
 		return compare_age(entry, &e->entry) < 0;
 	TAILQ_FOREACH(e, &f->removed, link)
 	if (strcmp(e->entry.id, entry->id) == 0 &&
-	    compare_age(entry, &e->entry) <= 0)
+	    (compare_age(entry, &e->entry) < 0 ||
+	     is_same_entry(entry, &e->entry)))
 		return true;
 	return false;
 }
--- a/pkg/fleet/fleet.h
+++ b/pkg/fleet/fleet.h
@@ -209,7 +209,8 @@
 				    uint64_t offset, int64_t now_us);
 /*
  * Returns true if a newer entry of the endpoint was applied before, or if the
- * endpoint was removed and the entry is not newer than its last one.
+ * endpoint was removed and the entry is not newer than its last one. Entries are
+ * ordered by their start, then by their sequence; false if these are unknown.
  */
 bool fleet_knows_newer(const struct fleet *f, const struct fleet_entry *entry);
 /*
--- a/pkg/fleet/test/fleet_test.cc
+++ b/pkg/fleet/test/fleet_test.cc
@@ -666,6 +666,7 @@
 {
 	struct fleet_entry entry = upsert("a", "d1")->entry;
 
+	entry.started_ms = 1700000000000;
 	entry.sequence = 5;
 	fleet_upsert(&f, &entry, ++offset, now_us);
 	EXPECT_FALSE(fleet_knows_newer(&f, &entry)) << "the same entry";
@@ -685,6 +686,12 @@
 	EXPECT_TRUE(fleet_knows_newer(&f, &entry)) << "its last before it left";
 	entry.sequence = 6;
 	EXPECT_FALSE(fleet_knows_newer(&f, &entry));
+	entry.sequence = 0;
+	EXPECT_FALSE(fleet_knows_newer(&f, &entry)) << "unknown";
+	entry.sequence = 4;
+	EXPECT_TRUE(fleet_knows_newer(&f, &entry));
+	entry.started_ms = 0;
+	EXPECT_FALSE(fleet_knows_newer(&f, &entry)) << "unknown";
 	snprintf(entry.id, sizeof(entry.id), "other");
 	entry.sequence = 0;
 	EXPECT_FALSE(fleet_knows_newer(&f, &entry));
--- a/pkg/record/record.c
+++ b/pkg/record/record.c
@@ -19,6 +19,7 @@
 	row->value_bytes = n;
 	row->packed = NULL;
 	row->packed_bytes = 0;
+	row->held_until_us = 0;
 }
 
 void records_finish(struct records *r)
@@ -91,7 +92,6 @@
 	}
 	set_value(row, copy, copy ? n : 0);
 	row->position = position;
-	row->held = false;
 	return known || copy ? 1 : 0;
 }
 
@@ -103,12 +103,12 @@
 		row->position = position;
 }
 
-void records_hold(struct records *r, const char *key)
+void records_hold(struct records *r, const char *key, int64_t until_us)
 {
 	struct record *row = find(r, key);
 
 	if (row)
-		row->held = true;
+		row->held_until_us = until_us;
 }
 
 const char *records_pack(struct records *r, uint32_t i, size_t *n)
--- a/pkg/record/record.h
+++ b/pkg/record/record.h
@@ -56,8 +56,9 @@
 	size_t value_bytes;
 	uint64_t position;
 	bool in_snapshot[RECORDS_SOURCES]; /* that is being read */
-	/* Not put into effect: what is known by other means is newer. */
-	bool held;
+	/* Not put into effect before this time, since what is known by other means
+	 * is newer; 0 if it is in effect. */
+	int64_t held_until_us;
 	/* The value compressed, once it was asked for; owned. */
 	char *packed;
 	size_t packed_bytes;
@@ -95,8 +96,8 @@
  * newer than that of the record there.
  */
 void records_keep(struct records *r, const char *key, uint64_t position);
-/* Marks the record of a key as held, until the next one of its key. */
-void records_hold(struct records *r, const char *key);
+/* Marks the record of a key as held, until a time or the next one of its key. */
+void records_hold(struct records *r, const char *key, int64_t until_us);
 /*
  * Returns the record of a key, also of a deleted one, or NULL. It is valid
  * until the next call that changes r.
--- a/pkg/record/test/record_test.cc
+++ b/pkg/record/test/record_test.cc
@@ -182,11 +182,11 @@
 	Stream stream;
 
 	stream.put("a", "1", 1);
-	records_hold(&stream.records, "a");
+	records_hold(&stream.records, "a", 7);
 	EXPECT_EQ(stream.put("a", "1", 1), 0);
-	EXPECT_TRUE(records_find(&stream.records, "a")->held);
+	EXPECT_EQ(records_find(&stream.records, "a")->held_until_us, 7);
 	EXPECT_EQ(stream.put("a", "2", 2), 1);
-	EXPECT_FALSE(records_find(&stream.records, "a")->held);
+	EXPECT_EQ(records_find(&stream.records, "a")->held_until_us, 0);
 }
 
 TEST(Records, LagIsFoundWhileAnotherReaderIsAsFarBehind)
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -1020,6 +1020,55 @@
     assert drained.received, "not used again"
 
 
+async def check_unused(d, e):
+    """Requests to all hosts succeed, and none reaches the endpoint."""
+    before = len(e.received)
+    for _ in range(10):
+        for host in range(len(d.hosts)):
+            assert await serves(d, host, "idempotent")
+    assert len(e.received) == before, "sent to an endpoint that left"
+
+
+# Guards against a return to an endpoint that leaves or has left, by a write of its
+# entry that the store carries out late.
+async def test_a_late_write_of_an_entry_undoes_nothing(d):
+    await start_small(d)
+    late = await d.add_endpoint("plain", "a")
+    await asyncio.sleep(0.5)
+    ready = late.entry()
+    d.store.put_json("keyed.servers", late.name, late.entry("draining"))
+    await asyncio.sleep(1)
+    await check_unused(d, late)
+    d.store.put_json("keyed.servers", late.name, ready)
+    await asyncio.sleep(1)
+    await check_unused(d, late)
+    ready_again = late.entry()
+    d.store.put_json("keyed.servers", late.name, late.entry("draining"))
+    d.store.put("keyed.servers", late.name, None)
+    await asyncio.sleep(1)
+    d.store.put_json("keyed.servers", late.name, ready_again)
+    await asyncio.sleep(1)
+    await check_unused(d, late)
+    assert "event=record_outdated stream=1 key=" + late.name in d.hosts[0].log()
+
+
+# Guards against an endpoint that is never used, since the time of day at its machine
+# went back and its entry looks older than that of its last start.
+async def test_uses_an_entry_that_looks_older_and_stays(d):
+    await start_small(d)
+    e = await d.add_endpoint("plain", "a")
+    await asyncio.sleep(0.5)
+    d.store.put("keyed.servers", e.name, None)
+    await asyncio.sleep(0.5)
+    e.started_ms -= 60000
+    d.store.put_json("keyed.servers", e.name, e.entry())
+    await asyncio.sleep(6)
+    for _ in range(20):
+        assert await serves(d, 0, "idempotent") and await serves(
+            d, 1, "idempotent")
+    assert e.received, "not used"
+
+
 # Guards against a return to an older entry, from the second of two older copies, at
 # the time at which the entries of the first are no longer doubted (soak, seed 1).
 async def test_a_store_restored_twice_undoes_nothing(d):
--- a/test/pools/standins.py
+++ b/test/pools/standins.py
@@ -297,7 +297,7 @@
             stage, slots, kv_capacity_tokens)
         self.work_s, self.event_interval_s = work_s, event_interval_s
         self.started_ms = 1700000000000
-        self.sequence = 1  # of its entry
+        self.sequence = 0  # of its last entry
         self.faults = []
         self.silence_s = 1.6
         self.anonymous_refusals = False  # without an Attempt-Id
@@ -344,7 +344,9 @@
         return fields
 
     def entry(self, state=None, **more):
+        """Returns what it writes to the store next."""
         state = state or ("draining" if self.draining else "ready")
+        self.sequence += 1
         e = {"Service": self.service, "Address": self.addr,
              "Zone": self.domain, "Version": "v1", "Slots": self.slots,
              "State": state, "ColdRemainingMs": 0,
