h1: an empty buffer keeps little memory

What callers saw: nothing reported. Found while looking for what a host keeps of engines' bytes: 100 callers that each got a sound response of 1 MB, one after the other, and kept their connections, made a host of 88 MB grow by 90,700 kB. It would have been ended by its memory limit, and the requests of all with it.

Cause: h1_buf_consume() moved the ends of an empty buffer and kept its memory, so a connection held the memory of the largest message that it ever carried: output to callers, requests of callers, responses of endpoints.

Change: an empty buffer keeps 4 KiB at most.

--- a/pkg/h1/buf.c
+++ b/pkg/h1/buf.c
@@ -7,6 +7,9 @@
 #include <string.h>
 
 #define INITIAL_BYTES 512
+/* Memory that an empty buffer keeps for its next content, at most. Connections stay
+ * open for long after a large message. */
+#define EMPTY_MAX_BYTES 4096
 
 void h1_buf_finish(struct h1_buf *b)
 {
@@ -73,8 +76,11 @@
 void h1_buf_consume(struct h1_buf *b, size_t n)
 {
 	b->start += n;
-	if (b->start >= b->end)
-		b->start = b->end = 0;
+	if (b->start < b->end)
+		return;
+	b->start = b->end = 0;
+	if (b->capacity > EMPTY_MAX_BYTES)
+		h1_buf_finish(b);
 }
 
 size_t h1_buf_len(const struct h1_buf *b)
--- a/pkg/h1/h1.h
+++ b/pkg/h1/h1.h
@@ -41,7 +41,8 @@
 /* Appends formatted text, without a null byte. Returns 0 or -ENOMEM. */
 int h1_buf_printf(struct h1_buf *b, const char *format, ...)
 	__attribute__((format(printf, 2, 3)));
-/* Removes the first n bytes, or all if there are fewer. */
+/* Removes the first n bytes, or all if there are fewer. A buffer that is empty then
+ * keeps little memory. */
 void h1_buf_consume(struct h1_buf *b, size_t n);
 /* Returns the number of bytes in the buffer. */
 size_t h1_buf_len(const struct h1_buf *b);
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -14,6 +14,7 @@
 import os
 import random
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -255,6 +256,57 @@
     assert (await d.request("idempotent"))[1].status == 200
 
 
+SMALL_HOST_MB = 88
+
+
+async def start_small_host(d):
+    """One host as small as they come, before two engines with room for 200 streams."""
+    d.hosts[0].change_settings(memory_mb=SMALL_HOST_MB)
+    # The sanitizer keeps freed memory; here it must not count.
+    os.environ["ASAN_OPTIONS"] = "quarantine_size_mb=1"
+    try:
+        await start_small(d)
+    finally:
+        del os.environ["ASAN_OPTIONS"]
+    for e in decode_endpoints(d):
+        e.slots = 400
+    return memory_kb(d.hosts[0], "VmRSS")
+
+
+def check_memory(d, start_kb):
+    """A quarter of the host's memory is for responses. The sanitizer adds to each
+    allocation, and to those that it has freed."""
+    limit_kb = SMALL_HOST_MB * 1024 / 4 + 8192
+    if is_sanitized(d.hosts[0].binary):
+        limit_kb *= 2
+    used_kb = memory_kb(d.hosts[0], "VmHWM") - start_kb
+    assert used_kb < limit_kb, used_kb
+
+
+# Guards against a host that runs out of memory, since connections that callers keep hold
+# the memory of the largest response that was sent on them.
+async def test_kept_connections_hold_no_memory_of_responses(d):
+    start_kb = await start_small_host(d)
+    writers = []
+    for e in plain_endpoints(d):
+        e.faults = ["large"] * 100
+    for _ in range(100):
+        rid, raw = d.request_bytes("non_idempotent")
+        reader, writer = await asyncio.open_connection(d.hosts[0].ip,
+                                                       CALLERS_PORT)
+        writers.append(writer)
+        writer.write(raw)
+        r = await read_response(reader)
+        assert r.status == 200 and r.complete
+        assert r.body == f"answer to {rid}".encode() * 35000
+    check_memory(d, start_kb)
+    for w in writers:
+        w.close()
+
+
+test_kept_connections_hold_no_memory_of_responses.hosts = 1
+
+
 async def test_resumes_a_stream_that_sends_only_comments(d):
     """Comments are not progress, however many arrive."""
     await start_small(d)
--- a/test/pools/standins.py
+++ b/test/pools/standins.py
@@ -39,6 +39,13 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
 
+async def send_endlessly(writer, first, more):
+    writer.write(first)
+    while not writer.transport.is_closing():
+        writer.write(more)
+        await writer.drain()
+
+
 class Server:
     """An HTTP server on one loopback address.
 
@@ -93,6 +100,7 @@
     "hang"     accepts requests and never responds
     "refuse"   responds with 503
     "close"    serves each request, then closes the connection
+    "endless"  responds with a body without end
     """
 
     def __init__(self, host, port, shared=None):
@@ -153,6 +161,9 @@
         if self.mode == "refuse":
             writer.write(self.response(503))
             return True
+        if self.mode == "endless":
+            await send_endlessly(writer, *Endpoint.ENDLESS["endless_body"])
+            return False
         topic = query.get("Topic", "")
         if path == "/figbend/log-newest":
             self.pages.append((topic, query.get("after", "")))
@@ -272,11 +283,16 @@
     "extra_response"  a response without a request follows
     "endless_head"    a head without end
     "endless_interim" interim responses without end
+    "long_head"       60 KB of a head, and then nothing
+    "stuck_body"      100 KB of a body without end, and then nothing
     "endless_body"    a body without end
+    "large"           a sound body of 1 MB
     Streams only:
     "truncate_event"  closes within the fourth event, unless resumed
     "spoiled_id"      writes its first two events together, the second one with
                       spoiled_id for an id, unless resumed
+    "endless_event"   one event of 250 KB, not ended, and then nothing
+    "endless_events"  events of 1 KB without end
     "comments"        only comments after the third event, unless resumed
     "silent"          nothing for silence_s after three events, then goes on
     "only_comment"    ends after a comment, without an event
@@ -303,6 +319,9 @@
         self.anonymous_refusals = False  # without an Attempt-Id
         self.holds_to_refuse = 0
         self.holds_to_spoil = 0  # wrong_byte stands in their ids
+        # Sends a body without end to reservations, prefills and releases.
+        self.endless_steps = False
+        self.endless_sent = 0
         self.wrong_byte = " "
         self.spoiled_id = 0
         self.refusals = {}  # connection: its last refusal
@@ -380,6 +399,17 @@
                 "Not-Executed": "1", "Retry-After": self.retry_after,
                 **({"Attempt-Id": rid} if rid else {})}))
             return True
+        if self.endless_steps and (
+                target.startswith("/figbend/") or
+                headers.get("serving-stage") == "prefill"):
+            self.endless_sent += 1
+            first, more = self.ENDLESS["endless_body"]
+            rid = headers.get("attempt-id")
+            head, end = first[:-2], first[-2:]
+            await send_endlessly(
+                writer, head + (f"Attempt-Id: {rid}\r\n".encode() if rid
+                                else b"") + end, more)
+            return False
         if target == "/figbend/hold-take":
             return self.reserve(writer, json.loads(body))
         if target.startswith("/figbend/hold-drop/"):
@@ -468,7 +498,7 @@
         if "token-usage" in headers:
             return await self.stream(reader, writer, headers, rid, identity,
                                      fault)
-        return await self.respond(writer, rid, identity, fault)
+        return await self.respond(reader, writer, rid, identity, fault)
 
     def import_prefill(self, headers, rid):
         """Imports a prefill result, which removes its handle.
@@ -514,22 +544,28 @@
                          b"\r\n", b"8000\r\n" + b"x" * 32768 + b"\r\n"),
     }
 
-    async def send_endlessly(self, writer, first, more):
-        writer.write(first)
-        while not writer.transport.is_closing():
-            writer.write(more)
-            await writer.drain()
+    # What comes before nothing.
+    STUCK = {
+        "long_head": ENDLESS["endless_head"][0] +
+        ENDLESS["endless_head"][1] * 15,
+        "stuck_body": ENDLESS["endless_body"][0] +
+        ENDLESS["endless_body"][1] * 3,
+    }
 
-    async def respond(self, writer, rid, identity, fault):
+    async def respond(self, reader, writer, rid, identity, fault):
         self.executed.append(rid)
         self.running[rid] = 0
         try:
             await asyncio.sleep(self.work_s if fault != "slow" else 5)
         finally:
             self.running.pop(rid, None)
-        body = f"answer to {rid}".encode()
+        body = f"answer to {rid}".encode() * (1 if fault != "large" else 35000)
         if fault in self.ENDLESS:
-            await self.send_endlessly(writer, *self.ENDLESS[fault])
+            await send_endlessly(writer, *self.ENDLESS[fault])
+            return False
+        if fault in self.STUCK:
+            writer.write(self.STUCK[fault])
+            await reader.read()
             return False
         if fault == "truncate":
             writer.write(self.http_response(200, body, identity)[:-3])
@@ -571,8 +607,18 @@
                 writer.write(b"5\r\n: k\n\n\r\n0\r\n\r\n")
                 await writer.drain()
                 return False
+            if fault == "endless_event":
+                for _ in range(50):
+                    writer.write(b"1388\r\n" + b"data:" * 1000 + b"\r\n")
+                    await writer.drain()
+                    await asyncio.sleep(0.01)
+                await disconnected
+                return False
+            if fault == "endless_events":
+                n_events = 1 << 30
             for i in range(last_event_id + 1, n_events + 1):
-                await asyncio.sleep(self.event_interval_s)
+                if fault != "endless_events":
+                    await asyncio.sleep(self.event_interval_s)
                 if disconnected.done() or writer.transport.is_closing():
                     return False
                 while fault == "comments" and not last_event_id and i > 3:
@@ -594,6 +640,8 @@
                 truncate = ((fault or "").endswith("truncate_event") and
                             not last_event_id and i == 4)
                 part = event[:-4] if truncate else event
+                if fault == "endless_events":
+                    part = event[:-1] + b"data: " + b"x" * 1000 + b"\n\n"
                 writer.write(b"%x\r\n%s\r\n" % (len(part), part) if chunked
                              else part)
                 await writer.drain()
