pools: events that do not end, or are not read, count as memory of responses

On a host of 88 MB, 200 streams whose engines begin an event of 250 KB and do not end it take 58,812 kB.

Cause: bodies are bounded together, streams only one by one: 256 KB of an event, and 256 KB that the caller has not read. Class of fault: a bound on one where there are many.

Change: the memory of an incomplete event, and of what connections of callers have not accepted, counts with the bodies. A stream with more than 16 KiB unread is cut while all together take too much.

--- a/cmd/figbend/gateway/pools.c
+++ b/cmd/figbend/gateway/pools.c
@@ -43,6 +43,8 @@
 #define RESUME_CHECK_US 100000LL
 /* A stream is aborted once more than this much waits for its caller to read. */
 #define UNSENT_MAX_BYTES 262144
+/* The same while the responses of all requests take too much memory. */
+#define UNSENT_SMALL_BYTES 16384
 /* Longest response to a reservation or a prefill, a short document. */
 #define STEP_RESPONSE_MAX_BYTES 16384
 #define MALFORMED_REASON "malformed response"
@@ -565,6 +567,15 @@
 	return NULL;
 }
 
+/* Returns true if too much of the stream waits for its caller to read. */
+static bool is_unread(const struct req *r)
+{
+	size_t n = h1_unsent_bytes(r->conn);
+
+	return n > UNSENT_MAX_BYTES ||
+	       (n > UNSENT_SMALL_BYTES && req_responses_are_full(r->g));
+}
+
 static void on_decode_body(void *ctx, const void *p, size_t n)
 {
 	struct req *r = ctx;
@@ -579,12 +590,12 @@
 			reason =
 				forward(r, &out, r->events.n_events > n_events);
 		h1_buf_finish(&out);
-		if (h1_unsent_bytes(r->conn) > UNSENT_MAX_BYTES) {
-			req_fail(r, 502,
-				 "caller reads too slowly: over 256 KiB "
-				 "unsent");
+		if (is_unread(r)) {
+			req_fail(r, 502, "caller reads too slowly");
 			return;
 		}
+		if (!reason)
+			reason = req_count_response(r);
 	} else {
 		reason = req_buffer_response(r, p, n);
 	}
--- a/cmd/figbend/gateway/req.c
+++ b/cmd/figbend/gateway/req.c
@@ -10,8 +10,8 @@
 /* An endpoint may respond right at the deadline; its response can arrive this
  * much later. */
 #define DEADLINE_MARGIN_US 60000LL
-/* Responses that are being received may use an eighth of memory_mb; while buffers
- * grow, the allocator keeps as much again. */
+/* Responses that are being received, or were not sent yet, may use an eighth of
+ * memory_mb; while buffers grow, the allocator keeps as much again. */
 #define RESPONSE_MEMORY_DIVISOR 8
 /* Longest deadline; also the default. */
 #define DEADLINE_MAX_US 60000000LL
@@ -113,8 +113,8 @@
 	TAILQ_REMOVE(&g->reqs, r, entry);
 	g->n_reqs--;
 	h1_buf_finish(&r->fields);
-	req_drop_response(r);
 	sse_finish(&r->events);
+	req_drop_response(r);
 	directory_unref(r->directory);
 	free(r);
 	/* The capacity that is free now may suffice for a waiting request. */
@@ -155,27 +155,38 @@
 		(long long)r->directory->version);
 }
 
+bool req_responses_are_full(const struct gateway *g)
+{
+	return g->response_bytes + g->callers.unsent_bytes >
+	       (uint64_t)g->settings->memory_mb * 1048576 /
+		       RESPONSE_MEMORY_DIVISOR;
+}
+
 /* The memory that buffers take counts, which is up to twice their content. */
-const char *req_buffer_response(struct req *r, const void *p, size_t n)
+const char *req_count_response(struct req *r)
 {
-	struct gateway *g = r->g;
-	size_t capacity = r->body.capacity;
+	size_t n = r->body.capacity + r->events.partial.capacity;
+
+	r->g->response_bytes += n - r->response_bytes;
+	r->response_bytes = n;
+	return req_responses_are_full(r->g) ? "too many large responses at once"
+					    : NULL;
+}
 
-	if (h1_buf_len(&r->body) + n > g->settings->response_max_kb * 1024ULL)
+const char *req_buffer_response(struct req *r, const void *p, size_t n)
+{
+	if (h1_buf_len(&r->body) + n >
+	    r->g->settings->response_max_kb * 1024ULL)
 		return "response body larger than response_max_kb";
 	if (h1_buf_append(&r->body, p, n) < 0)
 		return "out of memory";
-	g->response_bytes += r->body.capacity - capacity;
-	if (g->response_bytes > (uint64_t)g->settings->memory_mb * 1048576 /
-					RESPONSE_MEMORY_DIVISOR)
-		return "too many large responses at once";
-	return NULL;
+	return req_count_response(r);
 }
 
 void req_drop_response(struct req *r)
 {
-	r->g->response_bytes -= r->body.capacity;
 	h1_buf_finish(&r->body);
+	req_count_response(r);
 }
 
 void req_waste_prompt(struct req *r, enum stats_counter cause)
--- a/cmd/figbend/gateway/req.h
+++ b/cmd/figbend/gateway/req.h
@@ -76,6 +76,7 @@
 	bool until_close;     /* ends when the connection closes */
 	struct h1_buf fields; /* header lines that go on to the caller */
 	struct h1_buf body;
+	size_t response_bytes; /* part of the gateway's response_bytes */
 
 	/* Stream to the caller. */
 	bool response_started; /* the header section was sent to the caller */
@@ -137,6 +138,13 @@
  * attempt, and logs the cause at the end of the request.
  */
 void req_waste_prompt(struct req *r, enum stats_counter cause);
+/* Returns true if the responses of all requests take too much memory. */
+bool req_responses_are_full(const struct gateway *g);
+/*
+ * Counts the memory that the response takes by now. Returns NULL, or why it must not
+ * go on: all responses together take too much.
+ */
+const char *req_count_response(struct req *r);
 /*
  * Buffers a part of the response. Returns NULL, or why the response cannot be
  * buffered: it, or the responses of all requests together, are too large.
--- a/pkg/h1/h1.h
+++ b/pkg/h1/h1.h
@@ -196,6 +196,7 @@
 	bool head_started;     /* part of the next head has arrived */
 	double idle_since_s;   /* loop time since which no input has arrived */
 	size_t buffered_bytes; /* part of the server's buffered_bytes */
+	size_t unsent_bytes;   /* part of the server's unsent_bytes */
 	bool used;	       /* a response has been sent on it */
 	bool closing;	       /* closes once out has been sent */
 	bool close_after;      /* the connection closes after this response */
@@ -254,6 +255,8 @@
 	uint64_t buffered_bytes;
 	/* Over this, a request that is being received is rejected with 503. */
 	uint64_t buffered_max_bytes;
+	/* Memory of response bytes that the sockets have not accepted yet. */
+	uint64_t unsent_bytes;
 	bool draining; /* responses that start close their connection */
 };
 
--- a/pkg/h1/server.c
+++ b/pkg/h1/server.c
@@ -72,6 +72,13 @@
 	c->buffered_bytes = request_bytes(c);
 }
 
+/* The same of unsent_bytes. */
+static void update_unsent_bytes(struct h1_conn *c)
+{
+	c->server->unsent_bytes += c->out.capacity - c->unsent_bytes;
+	c->unsent_bytes = c->out.capacity;
+}
+
 static void finish_request(struct h1_conn *c)
 {
 	h1_head_finish(&c->request.head);
@@ -91,6 +98,7 @@
 	h1_buf_finish(&c->in);
 	h1_buf_finish(&c->out);
 	update_buffered_bytes(c);
+	update_unsent_bytes(c);
 	TAILQ_REMOVE(&s->conns, c, entry);
 	s->conns_n--;
 	free(c);
@@ -141,12 +149,7 @@
 	restart_timer(c, LINGER_S);
 }
 
-/*
- * Sends as much of the output as the socket accepts. A closing connection starts
- * to linger when all is sent, and ends if its peer reads nothing for the idle
- * timeout.
- */
-static void flush(struct h1_conn *c)
+static void send_output(struct h1_conn *c)
 {
 	bool progress = false;
 	ssize_t n;
@@ -175,6 +178,17 @@
 		linger(c);
 }
 
+/*
+ * Sends as much of the output as the socket accepts. A closing connection starts
+ * to linger when all is sent, and ends if its peer reads nothing for the idle
+ * timeout.
+ */
+static void flush(struct h1_conn *c)
+{
+	send_output(c);
+	update_unsent_bytes(c);
+}
+
 /* The response is complete or aborted: prepares for the next request. */
 static void response_done(struct h1_conn *c)
 {
--- a/pkg/h1/test/h1_socket_test.cc
+++ b/pkg/h1/test/h1_socket_test.cc
@@ -434,6 +434,30 @@
 	close(fd);
 }
 
+/* Guards against memory for responses that is not counted, or counted for ever. */
+TEST(Server, CountsTheBytesThatItCouldNotSendYet)
+{
+	std::string large(LARGE_BYTES, 'a');
+	std::vector<char> p(2 << 20);
+	Server s;
+	int fd[2];
+
+	s.respond = false;
+	for (int &f : fd) {
+		f = s.connect();
+		s.exchange(f, get);
+		h1_respond(s.waiting, 200, NULL, large.data(), large.size());
+	}
+	EXPECT_GT(s.server.unsent_bytes, (uint64_t)LARGE_BYTES);
+	close(fd[0]);
+	for (int i = 0; i < 500 && s.server.unsent_bytes; i++) {
+		(void)!recv(fd[1], p.data(), p.size(), 0);
+		s.run_loop(0.01);
+	}
+	EXPECT_EQ(s.server.unsent_bytes, 0u);
+	close(fd[1]);
+}
+
 /* Guards against a server that accepts again and again without a descriptor. */
 TEST(Server, WaitsWhenItHasNoDescriptors)
 {
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -283,6 +283,45 @@
     assert used_kb < limit_kb, used_kb
 
 
+# Guards against a host that keeps what engines send without end in the steps beside a
+# request: reservations, prefills, and releases of both.
+async def test_bounds_the_memory_of_steps_without_end(d):
+    start_kb = await start_small_host(d)
+    for e in d.endpoints:
+        e.endless_steps = e.stage is not None
+    streams = asyncio.gather(*(
+        d.request("stream", tokens=(10, 80), deadline_ms=4000)
+        for _ in range(60)))
+    for _ in range(20):
+        assert (await d.request("non_idempotent"))[1].status == 200
+        await asyncio.sleep(0.05)
+    assert all(r.status in (200, 502, 503, 504) for _, r in await streams)
+    assert sum(e.endless_sent for e in d.endpoints) > 20
+    check_memory(d, start_kb)
+    for e in d.endpoints:
+        e.endless_steps = False
+    await asyncio.sleep(4.5)  # the longest ejection
+    assert (await d.request("stream", tokens=(10, 80)))[1].complete
+
+
+test_bounds_the_memory_of_steps_without_end.hosts = 1
+
+
+# The same for heads, of many calls at once.
+async def test_bounds_the_memory_of_heads_that_do_not_end(d):
+    start_kb = await start_small_host(d)
+    for e in plain_endpoints(d):
+        e.slots = 400
+        e.faults = ["long_head"] * 400
+    done = await asyncio.gather(*(
+        d.request("non_idempotent", deadline_ms=3000) for _ in range(200)))
+    assert {r.status for _, r in done} <= {502, 503, 504}
+    check_memory(d, start_kb)
+
+
+test_bounds_the_memory_of_heads_that_do_not_end.hosts = 1
+
+
 # Guards against a host that runs out of memory, since connections that callers keep hold
 # the memory of the largest response that was sent on them.
 async def test_kept_connections_hold_no_memory_of_responses(d):
@@ -307,6 +346,45 @@
 test_kept_connections_hold_no_memory_of_responses.hosts = 1
 
 
+# Guards against a host that runs out of memory, since engines send events without end:
+# what was received of an event was not counted among the responses.
+async def test_bounds_the_memory_of_events_that_do_not_end(d):
+    start_kb = await start_small_host(d)
+    for e in decode_endpoints(d):
+        e.faults = ["endless_event"] * 400
+    done = await asyncio.gather(*(
+        d.request("stream", tokens=(10, 8), deadline_ms=3000)
+        for _ in range(200)))
+    assert {r.status for _, r in done} <= {502, 503, 504}, \
+        [r.status for _, r in done]
+    check_memory(d, start_kb)
+
+
+test_bounds_the_memory_of_events_that_do_not_end.hosts = 1
+
+
+# The same for callers that do not read what engines send without end.
+async def test_bounds_the_memory_of_events_that_are_not_read(d):
+    start_kb = await start_small_host(d)
+    for e in decode_endpoints(d):
+        e.faults = ["endless_events"] * 400
+    callers = []
+    for _ in range(200):
+        s = socket.socket()
+        s.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+        s.connect((d.hosts[0].ip, CALLERS_PORT))
+        _, raw = d.request_bytes("stream", tokens=(10, 8), deadline_ms=3000)
+        s.sendall(raw)
+        callers.append(s)
+    await asyncio.sleep(4)
+    for s in callers:
+        s.close()
+    check_memory(d, start_kb)
+
+
+test_bounds_the_memory_of_events_that_are_not_read.hosts = 1
+
+
 async def test_resumes_a_stream_that_sends_only_comments(d):
     """Comments are not progress, however many arrive."""
     await start_small(d)
