req: small responses go on while others take too much memory

What callers saw: nothing reported; a test of ours. While bodies of 100 KB that do not end take all memory for responses, each sound answer fails with 502, although it has run.

Cause: the bound on the memory of all responses failed whichever grew next. Sizes of buffers are powers of two, so that large ones fill the bound to the byte.

Change: a response of up to 16 KiB goes on.

Before: answers_sound_requests_beside_bodies_that_do_not_end fails.

--- a/cmd/figbend/gateway/req.c
+++ b/cmd/figbend/gateway/req.c
@@ -13,6 +13,9 @@
 /* Responses that are being received, or were not sent yet, may use an eighth of
  * memory_mb; while buffers grow, the allocator keeps as much again. */
 #define RESPONSE_MEMORY_DIVISOR 8
+/* A response that takes no more memory goes on while all together take too much:
+ * engines that send without end fail, and sound ones beside them do not. */
+#define RESPONSE_SMALL_BYTES 16384
 /* Longest deadline; also the default. */
 #define DEADLINE_MAX_US 60000000LL
 /* Retry-After of a refused request. Whether a failing plain service works again
@@ -169,8 +172,9 @@
 
 	r->g->response_bytes += n - r->response_bytes;
 	r->response_bytes = n;
-	return req_responses_are_full(r->g) ? "too many large responses at once"
-					    : NULL;
+	return n > RESPONSE_SMALL_BYTES && req_responses_are_full(r->g)
+		       ? "too many large responses at once"
+		       : NULL;
 }
 
 const char *req_buffer_response(struct req *r, const void *p, size_t n)
--- a/cmd/figbend/gateway/req.h
+++ b/cmd/figbend/gateway/req.h
@@ -142,7 +142,7 @@
 bool req_responses_are_full(const struct gateway *g);
 /*
  * Counts the memory that the response takes by now. Returns NULL, or why it must not
- * go on: all responses together take too much.
+ * go on: it is large, and all responses together take too much.
  */
 const char *req_count_response(struct req *r);
 /*
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -283,6 +283,31 @@
     assert used_kb < limit_kb, used_kb
 
 
+# Guards against sound requests that fail since others' responses, which do not end, take
+# all memory for responses.
+async def test_answers_sound_requests_beside_bodies_that_do_not_end(d):
+    start_kb = await start_small_host(d)
+    stuck, sound = plain_endpoints(d)
+    stuck.slots, stuck.faults = 400, ["stuck_body"] * 400
+    sound.retry_after = "2"
+    hanging = asyncio.gather(*(
+        d.request("non_idempotent", deadline_ms=4000) for _ in range(200)))
+    await asyncio.sleep(2.2)
+    assert len(stuck.executed) > 100, "the rest was refused by the other one"
+    sound.retry_after = None
+    n = 0
+    for _ in range(40):
+        rid, r = await d.request("idempotent")
+        n += rid not in stuck.executed
+        assert r.status == 200 or rid in stuck.executed, r.status
+    assert n > 10, n
+    check_memory(d, start_kb)
+    await hanging
+
+
+test_answers_sound_requests_beside_bodies_that_do_not_end.hosts = 1
+
+
 # Guards against a host that keeps what engines send without end in the steps beside a
 # request: reservations, prefills, and releases of both.
 async def test_bounds_the_memory_of_steps_without_end(d):
