store_reader: a response of the store takes 4 MiB at most

What callers saw: nothing reported; a test of ours. A store that sends bodies without end makes a host of 88 MB grow by 40,232 kB.

Cause: a bound of 8 MiB for each of three streams, while the store sends 1 MiB of records, a third more if encoded; and a response stayed in memory until the next read.

Change: 4 MiB, and a response is freed once it was applied.

Before: bounds_the_memory_of_store_responses_without_end fails.

--- a/cmd/figbend/gateway/store_reader.c
+++ b/cmd/figbend/gateway/store_reader.c
@@ -36,8 +36,9 @@
  * hosts is so for longer if they give up, since it sends what they asked for all the
  * same. */
 #define READ_TIMEOUT_AGAIN_S 1.6
-/* The store sends 1 MiB of records at most in one response. */
-#define RESPONSE_MAX_BYTES 8388608
+/* The store sends 1 MiB of records at most in one response, a third more if they are
+ * encoded. */
+#define RESPONSE_MAX_BYTES 4194304
 /* Pause after new records of endpoints. A rollout changes many entries, and
  * each would end a poll of every reader. The pause is a tenth of the time
  * within which hosts must know that an endpoint is leaving. */
@@ -454,6 +455,7 @@
 	if (h1_buf_len(&sr->body) + n > RESPONSE_MAX_BYTES ||
 	    h1_buf_append(&sr->body, p, n) < 0) {
 		h1_exchange_cancel(&sr->exchange);
+		h1_buf_finish(&sr->body);
 		read_failed(sr, "response too large");
 		return;
 	}
@@ -472,6 +474,8 @@
 		on_response(sr);
 	else
 		read_failed(sr, reason);
+	/* The next read may be long in coming. */
+	h1_buf_finish(&sr->body);
 }
 
 static const struct h1_exchange_handlers handlers = {on_head, on_body, on_end};
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -347,6 +347,28 @@
 test_bounds_the_memory_of_heads_that_do_not_end.hosts = 1
 
 
+# The same for what the store sends. Requests go on with what is known.
+async def test_bounds_the_memory_of_store_responses_without_end(d):
+    start_kb = await start_small_host(d)
+    for s in d.host_stores:
+        s.mode = "endless"
+        for w in list(s.writers):
+            w.transport.abort()
+    for _ in range(40):
+        assert (await d.request("idempotent"))[1].status == 200
+        await asyncio.sleep(0.1)
+    assert d.host_stores[0].calls > 3
+    check_memory(d, start_kb)
+    for s in d.host_stores:
+        s.mode = "ok"
+    d.routes.append(d.route("added", "idempotent", "plain", 1))
+    d.publish_config()
+    await wait_until_served(d, "added", 6)
+
+
+test_bounds_the_memory_of_store_responses_without_end.hosts = 1
+
+
 # Guards against a host that runs out of memory, since connections that callers keep hold
 # the memory of the largest response that was sent on them.
 async def test_kept_connections_hold_no_memory_of_responses(d):
