record_fetch: a host that gets no reply reads the store

Cause, one of two: the other hosts refuse its messages, and it leaves the store to them. It hears that they are ahead, calls them again and again without a reply, and never reads the store. Class of fault: a source taken for working because it talks.

A host that is busy or names another one does reply.

--- a/cmd/figbend/gateway/record_fetch.c
+++ b/cmd/figbend/gateway/record_fetch.c
@@ -31,6 +31,8 @@
 struct fetch {
 	struct gateway *g;
 	char name[RELAY_NAME_BYTES];
+	enum adapter_topic topic;
+	uint64_t position;   /* that this host has reached */
 	uint32_t directions; /* that led to this host */
 };
 
@@ -146,6 +148,13 @@
 		h->fetching = false;
 	if (error || !reply ||
 	    reply->fig_reply_u.records_got.topic >= FIG_STREAMS) {
+		/* This host may be one that others do not answer. */
+		if (f->position > g->records[f->topic].next_position) {
+			logline(LOG_NOTICE, "records_not_got",
+				"stream=%d source=%s error=%d", f->topic,
+				f->name, error);
+			store_reader_poll(g, f->topic);
+		}
 		free(f);
 		return;
 	}
@@ -168,6 +177,8 @@
 	if (!f)
 		return;
 	f->g = g;
+	f->topic = (enum adapter_topic)topic;
+	f->position = h->next_position[topic];
 	f->directions = directions;
 	snprintf(f->name, sizeof(f->name), "%s", h->name);
 	call.fig_call_u.records_get.topic = topic;
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -10,16 +10,19 @@
 
 import asyncio
 import base64
+import hmac
 import json
 import os
 import random
 import signal
 import socket
+import struct
 import sys
 import tempfile
 import time
 
-from deployment import CALLERS_PORT, METRICS_PORT, Deployment, read_response
+from deployment import (CALLERS_PORT, METRICS_PORT, PEER_PORT, SECRET, Deployment,
+                        read_response)
 from standins import odd_entries
 
 
@@ -1910,6 +1913,50 @@
 test_learns_of_deletions_while_the_readers_restart.domains = ("a",)
 
 
+def message_of_a_later_start(host):
+    """Returns a sealed message like those of a host, but of a start an hour later."""
+    def words(*n):
+        return struct.pack(f">{len(n)}I", *n)
+
+    now_us = int(time.time() * 1e6)
+    name = host.name.encode()
+    call = words(21)  # FIG_SUSPECTS of an old minor version; all else is zero
+    raw = words(1, 0, 2, 0x20464942, 1, 21, 0, 0, 0, 0)
+    raw += words(1, len(name)) + name + b"\0" * (-len(name) % 4)
+    raw += struct.pack(">3Q", now_us + 3600 * 10**6, 1, now_us // 1000)
+    raw += words(len(call)) + call
+    return raw + hmac.new(bytes.fromhex(SECRET), raw, "sha256").digest()
+
+
+async def make_refused(d, host):
+    """Lets the other hosts refuse the messages of a host, as they do if the time of day
+    was ahead when it started for the last time but one."""
+    s = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    for h in d.hosts:
+        if h is not host:
+            s.sendto(message_of_a_later_start(host), (h.ip, PEER_PORT))
+    s.close()
+
+
+# Guards against a host that stays at its configuration for ever, since it leaves the
+# store to others, and these refuse its calls.
+async def test_reads_the_store_if_other_hosts_do_not_answer(d):
+    await start_small(d)
+    passive = d.hosts[await find_passive(d)]
+    await make_refused(d, passive)
+    await asyncio.sleep(0.5)
+    for n in range(3):
+        name = f"added{n}"
+        d.routes.append(d.route(name, "idempotent", "plain", 1))
+        d.publish_config()
+        await wait_until_served(d, name)
+        await asyncio.sleep(0.5)
+
+
+test_reads_the_store_if_other_hosts_do_not_answer.hosts = 3
+test_reads_the_store_if_other_hosts_do_not_answer.domains = ("a",)
+
+
 async def test_reads_each_page_of_the_hosts_once(d):
     """Guards against a snapshot of the hosts that starts anew after each page: with
     the records of 40 hosts that stopped, a page holds five."""
