heartbeat: a host learns that others know a later start of it

Besides, a host whose clock went back between two starts counted as gone at all others: its loads and what it consumed of limits were unknown to them until its clock had passed the earlier start.

Cause, the second of two: starts are ordered by the time of day, which may go back, and messages of what counts as an earlier start are refused without a word.

Change: a host that refuses such a message tells the sender which start it knows, and the sender names one right after it, eight times at most. A peer's own start, before which messages of unknown senders are refused, stays that of its clock.

Before: other_hosts_accept_a_start_after_the_clock_went_back fails. After: it passes, and Peer.TellsOfMessagesOfAnEarlierStart and AcceptsNewSendersAfterItRaisedItsStart.

--- a/cmd/figbend/daemon.c
+++ b/cmd/figbend/daemon.c
@@ -89,6 +89,7 @@
 	case FIG_DIGEST:
 	case FIG_SUSPECTS:
 	case FIG_NOTICES:
+	case FIG_START_KNOWN:
 		break;
 	}
 	return -EPROTO;
@@ -124,6 +125,7 @@
 	case FIG_DIGEST:
 	case FIG_SUSPECTS:
 	case FIG_NOTICES:
+	case FIG_START_KNOWN:
 		break;
 	}
 }
--- a/cmd/figbend/gateway/gateway.h
+++ b/cmd/figbend/gateway/gateway.h
@@ -80,8 +80,10 @@
 struct gateway {
 	struct ev_loop *loop;
 	const struct pool_settings *settings; /* borrowed */
-	uint64_t boot_us; /* start of the process, since the epoch */
-	uint64_t random;  /* state of gateway_random */
+	/* Start of the process, since the epoch; later if other hosts know a later
+	 * one, see heartbeat.c. */
+	uint64_t boot_us;
+	uint64_t random; /* state of gateway_random */
 
 	/* gateway.c; heartbeat.c and req.c also write callers.draining,
 	 * store_apply.c also writes limits */
@@ -128,6 +130,8 @@
 	ev_timer heartbeat_timer;
 	bool loads_changed; /* since heartbeat_update_loads() */
 	enum relay_mode logged_mode;
+	int64_t start_told_us; /* last message about a known start */
+	uint32_t start_raises;
 	struct ratelimit ratelimit;
 	/* When the last other domain became unreachable; 0 if one is reachable
 	 * or none is known. */
--- a/cmd/figbend/gateway/heartbeat.c
+++ b/cmd/figbend/gateway/heartbeat.c
@@ -21,6 +21,10 @@
  * this interval. */
 #define DELEGATES_INTERVAL_S 0.6
 #define MESH_INTERVAL_PER_HOST_S 0.01
+/* Interval of messages to hosts whose messages are refused, at the least. */
+#define START_TOLD_INTERVAL_US 50000LL
+/* How often a process raises its start, at the most. */
+#define START_RAISES_MAX 8
 /* Separates the domain from the name in the key of a host's record. */
 #define KEY_SEPARATOR '/'
 
@@ -262,6 +266,44 @@
 			       now_us);
 }
 
+/* Tells a host whose messages are refused which start of it is known. */
+static void on_refused(void *ctx, const struct wire_opened *from,
+		       uint64_t boot_us)
+{
+	struct gateway *g = ctx;
+	struct relay_host *h = relay_find(&g->relay, from->sender);
+	struct fig_call call = {.kind = FIG_START_KNOWN};
+	int64_t now_us = gateway_now_us(g);
+
+	if (!h || !h->addr[0] ||
+	    now_us - g->start_told_us < START_TOLD_INTERVAL_US)
+		return;
+	g->start_told_us = now_us;
+	logline(LOG_NOTICE, "start_refused",
+		"host=%s start_us=%llu known_us=%llu", from->sender,
+		(unsigned long long)from->boot, (unsigned long long)boot_us);
+	call.fig_call_u.start_known.boot = boot_us;
+	peer_send(&g->peer, h->addr, &call);
+}
+
+/*
+ * Another host knows a later start of this one: the time of day was ahead then, and
+ * its messages would be refused for as long. Two processes of one name would raise
+ * their starts in turn, hence the limit.
+ */
+static void raise_start(struct gateway *g, uint64_t known_us, const char *by)
+{
+	if (known_us < g->boot_us || g->start_raises == START_RAISES_MAX)
+		return;
+	logline(LOG_NOTICE, "start_raised", "start_us=%llu known_us=%llu by=%s",
+		(unsigned long long)g->boot_us, (unsigned long long)known_us,
+		by);
+	g->start_raises++;
+	g->boot_us = known_us + 1;
+	peer_raise_start(&g->peer, g->boot_us);
+	relay_raise_start(&g->relay, g->boot_us);
+}
+
 static void on_message(void *ctx, const struct wire_opened *from)
 {
 	struct gateway *g = ctx;
@@ -275,6 +317,10 @@
 	case FIG_NOTICES:
 		notices_apply(g, &from->call.fig_call_u.notices, from->sender);
 		return;
+	case FIG_START_KNOWN:
+		raise_start(g, from->call.fig_call_u.start_known.boot,
+			    from->sender);
+		return;
 	case FIG_SHARE:
 		h = relay_on_report(&g->relay, from->sender, from->boot,
 				    from->counter, &from->call.fig_call_u.share,
@@ -443,6 +489,7 @@
 		      record_fetch_on_call, on_message, g);
 	if (r < 0)
 		return r;
+	g->peer.on_refused = on_refused;
 	ev_timer_init(&g->heartbeat_timer, on_heartbeat_timer,
 		      RELAY_ROWS_US / 1e6, RELAY_ROWS_US / 1e6);
 	g->heartbeat_timer.data = g;
--- a/pkg/peer/peer.c
+++ b/pkg/peer/peer.c
@@ -83,7 +83,7 @@
 	if (m->sent_ms + CLOCK_SKEW_MAX_MS < now_ms ||
 	    m->sent_ms > now_ms + CLOCK_SKEW_MAX_MS)
 		return true;
-	return s->replay_window.boot == 0 && m->sent_ms < p->sealer.boot / 1000;
+	return s->replay_window.boot == 0 && m->sent_ms < p->start_ms;
 }
 
 static void count_rejected(struct peer *p, int error)
@@ -123,6 +123,8 @@
 		return 0;
 	} else {
 		p->counters.replayed++;
+		if (p->on_refused && m->boot < s->replay_window.boot)
+			p->on_refused(p->ctx, m, s->replay_window.boot);
 	}
 	wire_open_finish(m);
 	return r;
@@ -216,6 +218,7 @@
 	memcpy(p->sealer.secret, secret, WIRE_SECRET_BYTES);
 	snprintf(p->sealer.sender, sizeof(p->sealer.sender), "%s", host);
 	p->sealer.boot = boot_us;
+	p->start_ms = boot_us / 1000;
 	p->sender = calloc(PEER_SENDERS_MAX, sizeof(*p->sender));
 	if (!p->sender)
 		return -ENOMEM;
@@ -237,6 +240,12 @@
 	return 0;
 }
 
+void peer_raise_start(struct peer *p, uint64_t boot_us)
+{
+	if (boot_us > p->sealer.boot)
+		p->sealer.boot = boot_us;
+}
+
 void peer_finish(struct peer *p)
 {
 	struct peer_conn *c;
--- a/pkg/peer/peer.h
+++ b/pkg/peer/peer.h
@@ -42,6 +42,13 @@
 /* Handles a one-way message, which is valid until the handler returns. */
 typedef void (*peer_message_fn)(void *ctx, const struct wire_opened *from);
 
+/*
+ * Handles an authentic message that is refused, since a later start of its sender, at
+ * boot_us, is known. The message is valid until the handler returns.
+ */
+typedef void (*peer_refused_fn)(void *ctx, const struct wire_opened *from,
+				uint64_t boot_us);
+
 /*
  * Handles the end of a call. If error is 0, the reply is valid until the
  * handler returns. Otherwise reply is NULL and the other host may have executed
@@ -97,7 +104,10 @@
 	uint32_t next_xid; /* transaction id of the last message sent */
 	peer_call_fn on_call;
 	peer_message_fn on_message;
-	void *ctx;		    /* of both handlers */
+	/* NULL for none; may be set after peer_init(). */
+	peer_refused_fn on_refused;
+	void *ctx;		    /* of all handlers */
+	uint64_t start_ms;	    /* start of this process since the epoch */
 	struct peer_sender *sender; /* PEER_SENDERS_MAX rows; owned */
 	uint32_t sender_n;	    /* rows in use */
 	struct peer_counters counters;
@@ -115,6 +125,11 @@
 	      const char *host, const uint8_t secret[WIRE_SECRET_BYTES],
 	      uint64_t boot_us, peer_call_fn on_call,
 	      peer_message_fn on_message, void *ctx);
+/*
+ * Names a later start in the messages of this host from now on, if others know one
+ * that is later than its own.
+ */
+void peer_raise_start(struct peer *p, uint64_t boot_us);
 /*
  * Closes the sockets and all connections. Pending calls end with -EPIPE before
  * this function returns.
--- a/pkg/peer/test/peer_test.cc
+++ b/pkg/peer/test/peer_test.cc
@@ -125,6 +125,7 @@
 	peer_finish(&peer);
 	Start();
 	peer.sealer.boot += 2000000; /* as if started 2 s later */
+	peer.start_ms += 2000;
 	EXPECT_EQ(-ESTALE, Receive(sent_ms, true));
 	EXPECT_EQ(1u, peer.counters.stale);
 	EXPECT_EQ(0, Receive(peer.sealer.boot / 1000 + 1));
@@ -133,11 +134,49 @@
 TEST_F(Peer, RejectsTimesOfSendingOutOfRange)
 {
 	peer.sealer.boot = 1;
+	peer.start_ms = 0;
 	EXPECT_EQ(0, Receive(peer_wall_clock_ms() - 20000));
 	EXPECT_EQ(-ESTALE, Receive(peer_wall_clock_ms() - 40000));
 	EXPECT_EQ(-ESTALE, Receive(peer_wall_clock_ms() + 40000));
 }
 
+/* Guards against a host that all others refuse for as long as its clock went back
+ * between two starts, and that does not learn of it. */
+TEST_F(Peer, TellsOfMessagesOfAnEarlierStart)
+{
+	static std::string told;
+
+	told.clear();
+	peer.on_refused = [](void *, const struct wire_opened *from,
+			     uint64_t boot_us) {
+		told += from->sender + std::string(" ") +
+			std::to_string(boot_us) + ",";
+	};
+	sender.boot = 9;
+	ASSERT_EQ(0, Receive(peer_wall_clock_ms() + 1));
+	EXPECT_EQ(-EALREADY, Receive(peer_wall_clock_ms() + 1, true));
+	EXPECT_EQ("", told) << "a replay";
+	sender.boot = 7;
+	EXPECT_EQ(-EALREADY, Receive(peer_wall_clock_ms() + 1));
+	EXPECT_EQ("other 9,", told);
+	sender.boot = 10;
+	EXPECT_EQ(0, Receive(peer_wall_clock_ms() + 1));
+	EXPECT_EQ("other 9,", told);
+}
+
+/* Guards against messages of others that are refused as sent before the start, since
+ * this host raised it beyond its clock. */
+TEST_F(Peer, AcceptsNewSendersAfterItRaisedItsStart)
+{
+	uint64_t boot_us = peer.sealer.boot;
+
+	peer_raise_start(&peer, boot_us + 3600000000);
+	EXPECT_EQ(boot_us + 3600000000, peer.sealer.boot);
+	EXPECT_EQ(0, Receive(peer_wall_clock_ms() + 1));
+	peer_raise_start(&peer, boot_us);
+	EXPECT_EQ(boot_us + 3600000000, peer.sealer.boot) << "never lower";
+}
+
 TEST_F(Peer, EvictsSendersWhenTableIsFull)
 {
 	for (int i = 0; i < 2 * PEER_SENDERS_MAX; i++) {
--- a/pkg/relay/relay.c
+++ b/pkg/relay/relay.c
@@ -61,6 +61,12 @@
 	return 0;
 }
 
+void relay_raise_start(struct relay *r, uint64_t boot)
+{
+	if (boot > r->boot)
+		r->boot = boot;
+}
+
 void relay_finish(struct relay *r)
 {
 	uint32_t i;
--- a/pkg/relay/relay.h
+++ b/pkg/relay/relay.h
@@ -194,6 +194,8 @@
 int relay_init(struct relay *r, const char *name, const char *domain,
 	       uint64_t boot, struct ratelimit *limits, int64_t now_us);
 void relay_finish(struct relay *r);
+/* Names a later start of this host's process in the messages from now on. */
+void relay_raise_start(struct relay *r, uint64_t boot);
 
 /*
  * Adds or updates a host that has a record; domain is "" if the record does not
--- a/pkg/wire/fig_msg.x
+++ b/pkg/wire/fig_msg.x
@@ -27,7 +27,8 @@
 	FIG_ROWS = 19,
 	FIG_DIGEST = 20,
 	FIG_SUSPECTS = 21,
-	FIG_NOTICES = 22
+	FIG_NOTICES = 22,
+	FIG_START_KNOWN = 23
 };
 
 /* Once an interval to hosts of the domain, over UDP; no reply. */
@@ -358,6 +359,14 @@
 	fig_key kept<FIG_RECORDS_MAX>;
 };
 
+/*
+ * Sent to a host whose messages are refused, since the sender knows a later start of
+ * it: the time of day at that host may have gone back. Over UDP; no reply.
+ */
+struct fig_start_known {
+	unsigned hyper boot; /* of that start */
+};
+
 union fig_call switch (fig_kind kind) {
 case FIG_HEARTBEAT:
 	fig_heartbeat heartbeat;
@@ -391,6 +400,8 @@
 	fig_suspects suspects;
 case FIG_NOTICES:
 	fig_notices notices;
+case FIG_START_KNOWN:
+	fig_start_known start_known;
 };
 
 union fig_reply switch (fig_kind kind) {
@@ -426,6 +437,8 @@
 	void;
 case FIG_NOTICES:
 	void;
+case FIG_START_KNOWN:
+	void;
 };
 
 /* What stands behind the RPC header: who sent it, and proof that it belongs. */
--- a/pkg/wire/gen/fig_msg.h
+++ b/pkg/wire/gen/fig_msg.h
@@ -36,6 +36,7 @@
 	FIG_DIGEST = 20,
 	FIG_SUSPECTS = 21,
 	FIG_NOTICES = 22,
+	FIG_START_KNOWN = 23,
 };
 typedef enum fig_kind fig_kind;
 
@@ -421,6 +422,11 @@
 };
 typedef struct fig_records_got fig_records_got;
 
+struct fig_start_known {
+	u_quad_t boot;
+};
+typedef struct fig_start_known fig_start_known;
+
 struct fig_call {
 	fig_kind kind;
 	union {
@@ -440,6 +446,7 @@
 		fig_digest digest;
 		fig_suspects suspects;
 		fig_notices notices;
+		fig_start_known start_known;
 	} fig_call_u;
 };
 typedef struct fig_call fig_call;
@@ -533,6 +540,7 @@
 extern  bool_t xdr_fig_key (XDR *, fig_key*);
 extern  bool_t xdr_fig_record (XDR *, fig_record*);
 extern  bool_t xdr_fig_records_got (XDR *, fig_records_got*);
+extern  bool_t xdr_fig_start_known (XDR *, fig_start_known*);
 extern  bool_t xdr_fig_call (XDR *, fig_call*);
 extern  bool_t xdr_fig_reply (XDR *, fig_reply*);
 extern  bool_t xdr_fig_sealed (XDR *, fig_sealed*);
@@ -579,6 +587,7 @@
 extern bool_t xdr_fig_key ();
 extern bool_t xdr_fig_record ();
 extern bool_t xdr_fig_records_got ();
+extern bool_t xdr_fig_start_known ();
 extern bool_t xdr_fig_call ();
 extern bool_t xdr_fig_reply ();
 extern bool_t xdr_fig_sealed ();
--- a/pkg/wire/gen/fig_msg_xdr.c
+++ b/pkg/wire/gen/fig_msg_xdr.c
@@ -911,6 +911,16 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fig_start_known (XDR *xdrs, fig_start_known *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->boot))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fig_call (XDR *xdrs, fig_call *objp)
 {
@@ -983,6 +993,10 @@
 		 if (!xdr_fig_notices (xdrs, &objp->fig_call_u.notices))
 			 return FALSE;
 		break;
+	case FIG_START_KNOWN:
+		 if (!xdr_fig_start_known (xdrs, &objp->fig_call_u.start_known))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
@@ -1045,6 +1059,8 @@
 		break;
 	case FIG_NOTICES:
 		break;
+	case FIG_START_KNOWN:
+		break;
 	default:
 		return FALSE;
 	}
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -1913,8 +1913,8 @@
 test_learns_of_deletions_while_the_readers_restart.domains = ("a",)
 
 
-def message_of_a_later_start(host):
-    """Returns a sealed message like those of a host, but of a start an hour later."""
+def message_of_a_later_start(host, hours):
+    """Returns a sealed message like those of a host, but of a start hours later."""
     def words(*n):
         return struct.pack(f">{len(n)}I", *n)
 
@@ -1923,18 +1923,18 @@
     call = words(21)  # FIG_SUSPECTS of an old minor version; all else is zero
     raw = words(1, 0, 2, 0x20464942, 1, 21, 0, 0, 0, 0)
     raw += words(1, len(name)) + name + b"\0" * (-len(name) % 4)
-    raw += struct.pack(">3Q", now_us + 3600 * 10**6, 1, now_us // 1000)
+    raw += struct.pack(">3Q", now_us + hours * 3600 * 10**6, 1, now_us // 1000)
     raw += words(len(call)) + call
     return raw + hmac.new(bytes.fromhex(SECRET), raw, "sha256").digest()
 
 
-async def make_refused(d, host):
+async def make_refused(d, host, hours=1):
     """Lets the other hosts refuse the messages of a host, as they do if the time of day
     was ahead when it started for the last time but one."""
     s = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     for h in d.hosts:
         if h is not host:
-            s.sendto(message_of_a_later_start(host), (h.ip, PEER_PORT))
+            s.sendto(message_of_a_later_start(host, hours), (h.ip, PEER_PORT))
     s.close()
 
 
@@ -1943,20 +1943,46 @@
 async def test_reads_the_store_if_other_hosts_do_not_answer(d):
     await start_small(d)
     passive = d.hosts[await find_passive(d)]
-    await make_refused(d, passive)
-    await asyncio.sleep(0.5)
+    # A host raises its start some times, and no more.
+    for hours in range(1, 12):
+        await make_refused(d, passive, hours)
+        await asyncio.sleep(0.4)
     for n in range(3):
         name = f"added{n}"
         d.routes.append(d.route(name, "idempotent", "plain", 1))
         d.publish_config()
         await wait_until_served(d, name)
         await asyncio.sleep(0.5)
+    assert "event=records_not_got" in passive.log()
 
 
 test_reads_the_store_if_other_hosts_do_not_answer.hosts = 3
 test_reads_the_store_if_other_hosts_do_not_answer.domains = ("a",)
 
 
+# Guards against a host that others take for gone for as long as the time of day went back
+# between two of its starts: they refuse its reports and its calls.
+async def test_other_hosts_accept_a_start_after_the_clock_went_back(d):
+    await start_small(d)
+    passive = d.hosts[await find_passive(d)]
+    await make_refused(d, passive)
+    await asyncio.sleep(0.7)
+    assert "event=start_raised" in passive.log()
+    raises = passive.log().count("event=start_raised")
+    for n in range(3):
+        name = f"added{n}"
+        d.routes.append(d.route(name, "idempotent", "plain", 1))
+        d.publish_config()
+        await wait_until_served(d, name)
+        await asyncio.sleep(0.5)
+    assert "event=records_not_got" not in passive.log()
+    assert passive.log().count("event=start_raised") == raises <= 2
+
+
+test_other_hosts_accept_a_start_after_the_clock_went_back.hosts = 3
+test_other_hosts_accept_a_start_after_the_clock_went_back.domains = ("a",)
+
+
 async def test_reads_each_page_of_the_hosts_once(d):
     """Guards against a snapshot of the hosts that starts anew after each page: with
     the records of 40 hosts that stopped, a page holds five."""
