pools: a refused prefill uses the retry budget

Cause: the first prefill that an engine accepts does not count as a request, one that it refuses does. After a refused prefill the request went on without a retry of the budget. Class of fault: a cost counted in one place of two.

Change: a refused prefill consumes a retry, or the request is refused, as it has not run. While no retry is left, prefills go only to endpoints that accepted the last request.

Before: refused_prefills_use_the_retry_budget fails: 30 of 30 refused prefills, with a budget of 4.

--- a/cmd/figbend/gateway/pools.c
+++ b/cmd/figbend/gateway/pools.c
@@ -256,8 +256,8 @@
 	h1_buf_finish(&request);
 }
 
-static void prefill_failed(struct req *r, enum fleet_outcome outcome,
-			   const char *reason)
+static void record_prefill_failure(struct req *r, enum fleet_outcome outcome,
+				   const char *reason)
 {
 	int64_t now_us = gateway_now_us(r->g);
 
@@ -278,9 +278,27 @@
 	/* A second prefill would count as a retry; the decode endpoint can
 	 * process the prompt instead. */
 	r->skip_prefill = true;
+}
+
+static void prefill_failed(struct req *r, enum fleet_outcome outcome,
+			   const char *reason)
+{
+	record_prefill_failure(r, outcome, reason);
 	start_decode(r);
 }
 
+/* A prefill that was refused counts like a request: the next one is a retry. */
+static void prefill_refused(struct req *r)
+{
+	record_prefill_failure(
+		r, r->status == 421 ? FLEET_MISDIRECTED : FLEET_OVERLOADED,
+		"refused");
+	if (req_consume_retry(r))
+		start_decode(r);
+	else
+		req_refuse(r, "prefill refused, and no retry is left");
+}
+
 static void on_prefill_end(void *ctx, enum h1_outcome outcome,
 			   const char *reason)
 {
@@ -297,10 +315,7 @@
 		return;
 	}
 	if (r->status != 200) {
-		prefill_failed(r,
-			       r->status == 421 ? FLEET_MISDIRECTED
-						: FLEET_OVERLOADED,
-			       "refused");
+		prefill_refused(r);
 		return;
 	}
 	if (adapter_read_prefill(h1_buf_data(&r->body), h1_buf_len(&r->body),
@@ -321,10 +336,17 @@
 static const struct h1_exchange_handlers prefill_handlers = {
 	on_step_head, on_step_body, on_prefill_end};
 
+static bool has_retry(struct req *r, int64_t now_us)
+{
+	return ratelimit_retry_available(&r->g->retry_budgets, r->service->name,
+					 r->g->fleet.hosts, now_us);
+}
+
 /*
  * Sends the prompt to a prefill endpoint, preferably in the decode endpoint's
  * domain. Skips to the decode step if the request has a prefill result or had
- * its one prefill, if it resumes a stream or if no endpoint is available.
+ * its one prefill, if it resumes a stream or if no endpoint is available. Without a
+ * retry to pay for a refusal, only endpoints that accepted the last request count.
  */
 static void start_prefill(struct req *r)
 {
@@ -345,7 +367,7 @@
 		return;
 	}
 	e = fleet_choose(&g->fleet, &query, now_us, &result);
-	if (!e) {
+	if (!e || (fleet_is_doubtful(e) && !has_retry(r, now_us))) {
 		r->skip_prefill = true;
 		start_decode(r);
 		return;
--- a/pkg/fleet/fleet.c
+++ b/pkg/fleet/fleet.c
@@ -385,6 +385,11 @@
 		e->unwanted_until_us = 0;
 }
 
+bool fleet_is_doubtful(const struct fleet_endpoint *e)
+{
+	return e->refusals || e->consecutive_failures || e->ejected_until_us;
+}
+
 void fleet_record_outcome(struct fleet_endpoint *e, enum fleet_outcome outcome,
 			  int64_t took_us, int64_t now_us)
 {
--- a/pkg/fleet/fleet.h
+++ b/pkg/fleet/fleet.h
@@ -313,6 +313,8 @@
 /* The endpoint wants nothing from this host for that long. */
 void fleet_record_unwanted(struct fleet *f, struct fleet_endpoint *e,
 			   int64_t for_us, int64_t now_us);
+/* Returns true if the last request there was refused, or the last ones failed. */
+bool fleet_is_doubtful(const struct fleet_endpoint *e);
 /* Returns true if the endpoint wants nothing from this host now. */
 bool fleet_is_unwanted(const struct fleet_endpoint *e, int64_t now_us);
 /*
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -451,6 +451,21 @@
     assert len(executed) == 2, "not resumed at the other endpoint"
 
 
+# Guards against more requests to a service than its retry budget allows: a prefill that
+# an endpoint refuses counts like a request.
+async def test_refused_prefills_use_the_retry_budget(d):
+    d.hosts[0].change_settings(retry_ratio=0, retry_slack=9)
+    await start_small(d)
+    prefill = next(e for e in d.endpoints if e.stage == "prefill")
+    prefill.faults = ["overloaded"] * 100
+    for _ in range(30):
+        rid, r = await d.request("stream", tokens=(3000, 80))
+        assert r.status == 200 and r.complete, r.status
+        await asyncio.sleep(0.05)
+    # This host's part of the budget, of two.
+    assert 0 < len(prefill.received) <= 5, len(prefill.received)
+
+
 # Guards against streams that end as complete and lack the sound events that were read
 # together with one whose id is wrong.
 async def test_keeps_the_events_before_a_wrong_id(d):
