--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -233,12 +233,7 @@
 
 async def test_bounds_the_memory_of_bodies_without_end(d):
     """Twenty at once are bounded together."""
-    # The sanitizer keeps freed memory; here it must not count.
-    os.environ["ASAN_OPTIONS"] = "quarantine_size_mb=1"
-    try:
-        await start_small(d)
-    finally:
-        del os.environ["ASAN_OPTIONS"]
+    await start_small_without_quarantine(d)
     start_kb = memory_kb(d.hosts[0], "VmRSS")
     for e in plain_endpoints(d):
         e.faults = ["endless_body"] * 100
@@ -262,15 +257,19 @@
 SMALL_HOST_MB = 88
 
 
-async def start_small_host(d):
-    """One host as small as they come, before two engines with room for 200 streams."""
-    d.hosts[0].change_settings(memory_mb=SMALL_HOST_MB)
-    # The sanitizer keeps freed memory; here it must not count.
+async def start_small_without_quarantine(d):
+    """The sanitizer keeps freed memory; where memory is measured, it must not count."""
     os.environ["ASAN_OPTIONS"] = "quarantine_size_mb=1"
     try:
         await start_small(d)
     finally:
         del os.environ["ASAN_OPTIONS"]
+
+
+async def start_small_host(d):
+    """One host as small as they come, before two engines with room for 200 streams."""
+    d.hosts[0].change_settings(memory_mb=SMALL_HOST_MB)
+    await start_small_without_quarantine(d)
     for e in decode_endpoints(d):
         e.slots = 400
     return memory_kb(d.hosts[0], "VmRSS")
@@ -1822,7 +1821,7 @@
 
 
 async def test_limits_the_memory_of_incomplete_requests(d):
-    await start_small(d)
+    await start_small_without_quarantine(d)
     conns = []
     # The memory of the sanitizer itself does not count against the limit.
     start_kb = memory_kb(d.hosts[0], "VmRSS") \
