h1: a HEAD request does not wait for content

Cause: the exchange waited for as much content as the response's length names. Change: the exchange knows that it is a HEAD request. The response to the caller names no length, since that of the endpoint is not passed on, and 0 would be wrong.

Before: answers_a_head_request fails (504). After: it passes, with a second request on the same connection.

--- a/cmd/figbend/gateway/req.c
+++ b/cmd/figbend/gateway/req.c
@@ -505,6 +505,7 @@
 			   &r->conn->request.body, &attempt);
 	r->sent_us = gateway_now_us(r->g);
 	r->answer_began = false;
+	r->exchange.no_body = h1_is_head_request(&r->conn->request.head);
 	error = h1_exchange_start(&r->g->endpoints, &r->exchange,
 				  &e->entry.addr, h1_buf_data(&request),
 				  h1_buf_len(&request), h, r);
--- a/pkg/h1/h1.h
+++ b/pkg/h1/h1.h
@@ -101,6 +101,8 @@
  * framing is that of a response to a method other than HEAD.
  */
 int h1_parse_response(struct h1_head *h, const char *p, size_t n);
+/* Returns true if responses to the request have no content, whatever their head says. */
+bool h1_is_head_request(const struct h1_head *h);
 /* Frees the text of the head and clears it. */
 void h1_head_finish(struct h1_head *h);
 /*
@@ -295,7 +297,8 @@
 /*
  * Sends a complete response with n bytes of content, which are copied. fields
  * is NULL or field lines that each end with CRLF; Content-Length and, if needed,
- * Connection are added. The response to a HEAD request is sent without content.
+ * Connection are added. The response to a HEAD request is sent without content and
+ * without Content-Length.
  */
 void h1_respond(struct h1_conn *c, uint16_t status, const char *fields,
 		const void *body, size_t n);
--- a/pkg/h1/head.c
+++ b/pkg/h1/head.c
@@ -399,3 +399,8 @@
 			return true;
 	return has_connection_option(h, name);
 }
+
+bool h1_is_head_request(const struct h1_head *h)
+{
+	return h->method && strcmp(h->method, "HEAD") == 0;
+}
--- a/pkg/h1/server.c
+++ b/pkg/h1/server.c
@@ -221,17 +221,19 @@
  */
 static bool response_has_body(const struct h1_conn *c)
 {
-	return !c->request.head.method ||
-	       strcmp(c->request.head.method, "HEAD") != 0;
+	return !h1_is_head_request(&c->request.head);
 }
 
 void h1_respond(struct h1_conn *c, uint16_t status, const char *fields,
 		const void *body, size_t n)
 {
 	write_head(c, status, fields);
-	h1_buf_printf(&c->out, "Content-Length: %zu\r\n\r\n", n);
-	if (response_has_body(c))
+	if (response_has_body(c)) {
+		h1_buf_printf(&c->out, "Content-Length: %zu\r\n\r\n", n);
 		h1_buf_append(&c->out, body, n);
+	} else {
+		h1_buf_append(&c->out, "\r\n", 2);
+	}
 	response_done(c);
 }
 
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -70,6 +70,25 @@
     assert r.status == 200 and r.complete and r.body == expected_events(rid, 10)
 
 
+# Guards against a HEAD request that waits until its deadline for content that does not
+# come.
+async def test_answers_a_head_request(d):
+    await start_small(d)
+    for e in plain_endpoints(d):
+        e.faults = ["no_content"] * 2
+    rid, raw = d.request_bytes("non_idempotent", body=b"")
+    reader, writer = await asyncio.open_connection(d.hosts[0].ip, CALLERS_PORT)
+    start = time.monotonic()
+    # The second one finds out whether the first one left anything behind.
+    for _ in range(2):
+        writer.write(raw.replace(b"POST ", b"HEAD "))
+        head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 6)
+        assert head.startswith(b"HTTP/1.1 200 "), head
+        assert b"Instance-Signature: " in head, head
+    assert time.monotonic() - start < 1
+    writer.close()
+
+
 async def test_refuses_unknown_keys_and_routes(d):
     await start_small(d)
     assert (await d.request("non_idempotent", key="other"))[1].status == 401
--- a/test/pools/standins.py
+++ b/test/pools/standins.py
@@ -287,6 +287,7 @@
     "stuck_body"      100 KB of a body without end, and then nothing
     "endless_body"    a body without end
     "large"           a sound body of 1 MB
+    "no_content"      as to a HEAD request: a length, and no body
     Streams only:
     "truncate_event"  closes within the fourth event, unless resumed
     "spoiled_id"      writes its first two events together, the second one with
@@ -573,6 +574,10 @@
         if fault == "unsigned":
             writer.write(self.http_response(200, body))
             return True
+        if fault == "no_content":
+            response = self.http_response(200, body, identity)
+            writer.write(response[:-len(body)])
+            return True
         if fault == "wrong_id":
             other = dict(identity)
             other["Attempt-Id"] = "0" * 16
