relay: a host that knows a part of all hosts asks delegates

Cause: a host that starts reads one page of the hosts' records, that of its domain, and leaves the rest to the domain's first hosts. Until it has the rest it knows, say, 14 of 84 hosts, takes them for a mesh, and reports to them all. Ruled out: messages lost (a message of any host that is ahead would have led to a fetch), the store's reads (it answered the domain's first hosts at once).

Change: while the list of hosts may be partial, relay_choose_mode() takes no mesh for granted: the host asks delegates of its domain, which answer with their positions in whatever mode they are.

New Relay.AHostWithAPartOfTheListHearsOfAllOthers fails without the change at 40, 84 and 295 hosts.

--- a/cmd/figbend/gateway/heartbeat.c
+++ b/cmd/figbend/gateway/heartbeat.c
@@ -449,6 +449,9 @@
 	bool rows = false;
 	uint32_t i, n;
 
+	relay_set_partial(
+		&g->relay,
+		!record_offset(g->records[ADAPTER_HOSTS].next_position));
 	n = relay_tick(&g->relay, now_us, send);
 	g->loads_changed = true;
 	update_shares(g, now_us);
--- a/pkg/relay/relay.c
+++ b/pkg/relay/relay.c
@@ -167,14 +167,20 @@
 	return NULL;
 }
 
+void relay_set_partial(struct relay *r, bool partial)
+{
+	r->partial = partial;
+}
+
 void relay_choose_mode(struct relay *r, int64_t now_us)
 {
 	struct relay_host *out[RELAY_DELEGATES];
+	bool has_delegates = own_delegates(r, out, RELAY_DELEGATES) > 0;
 
-	if (r->n_hosts < RELAY_MESH_HOSTS_MAX)
+	if (r->n_hosts < RELAY_MESH_HOSTS_MAX && !(r->partial && has_delegates))
 		update_mode(r, RELAY_MESH, now_us);
 	else if ((r->reported_us && now_us - r->reported_us < DELEGATE_US) ||
-		 !own_delegates(r, out, RELAY_DELEGATES))
+		 !has_delegates)
 		update_mode(r, RELAY_DELEGATE, now_us);
 	else
 		update_mode(r, RELAY_MEMBER, now_us);
--- a/pkg/relay/relay.h
+++ b/pkg/relay/relay.h
@@ -159,6 +159,7 @@
 	uint32_t totals_capacity;
 	struct relay_self self;
 
+	bool partial; /* hosts may be missing; see relay_set_partial() */
 	enum relay_mode mode;
 	int64_t mode_us;     /* since when */
 	int64_t reported_us; /* last report of its domain; 0 if none */
@@ -211,6 +212,13 @@
 /* Returns the host with this name, or NULL. */
 struct relay_host *relay_find(const struct relay *r, const char *name);
 
+/*
+ * Says whether the hosts that were added may be only a part of all, such as those of
+ * this host's domain while the list of all hosts is being read. A part may look like a
+ * mesh, but if there are more hosts, those that know them report to delegates only:
+ * this host then asks delegates of its domain, however few hosts it knows.
+ */
+void relay_set_partial(struct relay *r, bool partial);
 /* Sets this host's own state, for the messages that it sends. */
 void relay_set_self(struct relay *r, const struct relay_self *self);
 
--- a/pkg/relay/test/relay_test.cc
+++ b/pkg/relay/test/relay_test.cc
@@ -75,6 +75,40 @@
 	}
 }
 
+/*
+ * Guards against hosts that have read only their domain's part of the list of hosts,
+ * take it for a small mesh, and hear nothing from the hosts that know all.
+ */
+TEST(Relay, AHostWithAPartOfTheListHearsOfAllOthers)
+{
+	for (uint32_t hosts : {40, 84, 295}) {
+		Ages a(hosts, 4, hosts);
+		std::vector<Network::Node *> some;
+
+		for (auto &n : a.net.node)
+			a.net.stop(*n);
+		a.net.start_all();
+		for (auto &n : a.net.node) {
+			/* The first two of each domain have read the whole list. */
+			if (!relay_has_seniors(&n->relay))
+				continue;
+			relay_set_partial(&n->relay, true);
+			for (auto &o : a.net.node)
+				if (o->domain != n->domain)
+					relay_remove(&n->relay,
+						     o->name.c_str());
+			some.push_back(n.get());
+		}
+		a.net.run(2 * S);
+		for (Network::Node *at : some)
+			for (auto &of : a.net.node)
+				if (of.get() != at)
+					EXPECT_LE(a.age_s(*of, *at), 1)
+						<< of->name << " at "
+						<< at->name;
+	}
+}
+
 /* Guards against two hosts that have the same turn. */
 TEST(Relay, EachHostHasAPlaceOfItsOwn)
 {
