fleet, settings: the version of endpoints, and keys of features that are off

Cause: rollouts need the software version that an endpoint's entry names, and a deployment says by its settings which of the new features it asks for. Nothing uses them yet.

--- a/pkg/fleet/choose.c
+++ b/pkg/fleet/choose.c
@@ -101,10 +101,25 @@
 	return FLEET_FOUND;
 }
 
+static bool version_matches(const struct fleet_query *q,
+			    const struct fleet_endpoint *e)
+{
+	switch (q->version_match) {
+	case FLEET_VERSION_IS:
+		return strcmp(e->entry.version, q->version) == 0;
+	case FLEET_VERSION_IS_NOT:
+		return strcmp(e->entry.version, q->version) != 0;
+	case FLEET_VERSION_ANY:
+		break;
+	}
+	return true;
+}
+
 static bool matches(const struct fleet_query *q, const struct fleet_endpoint *e)
 {
 	return e->entry.stage == q->stage &&
-	       strcmp(e->entry.service, q->service) == 0;
+	       strcmp(e->entry.service, q->service) == 0 &&
+	       version_matches(q, e);
 }
 
 int64_t fleet_wait_us(const struct fleet *f, const struct fleet_query *query,
--- a/pkg/fleet/fleet.h
+++ b/pkg/fleet/fleet.h
@@ -35,6 +35,7 @@
 	char domain[CALL_NAME_BYTES];	  /* failure domain */
 	char addr_text[FLEET_ADDR_BYTES]; /* address:port, as published */
 	struct sockaddr_in addr;	  /* addr_text, parsed */
+	char version[CALL_NAME_BYTES];	  /* of its software, "" if unknown */
 	enum fleet_stage stage;
 	uint32_t slots;		    /* requests that can run at once */
 	uint32_t cold_remaining_ms; /* remaining warm-up time, 0 if warm */
@@ -152,12 +153,21 @@
 	uint64_t random; /* state of the random generator */
 };
 
+/* Which versions of endpoints satisfy a query. */
+enum fleet_version_match {
+	FLEET_VERSION_ANY,
+	FLEET_VERSION_IS,
+	FLEET_VERSION_IS_NOT,
+};
+
 /* The requirements of one attempt. */
 struct fleet_query {
 	const char *service;
 	enum fleet_stage stage;
-	uint32_t kv_tokens;	     /* KV memory needed, 0 for none */
-	uint32_t headroom_tokens;    /* KV memory that must remain free */
+	enum fleet_version_match version_match;
+	const char *version;	  /* borrowed; ignored for FLEET_VERSION_ANY */
+	uint32_t kv_tokens;	  /* KV memory needed, 0 for none */
+	uint32_t headroom_tokens; /* KV memory that must remain free */
 	uint32_t kv_capacity_tokens; /* KV memory of an endpoint */
 	/* Rate limit for an endpoint that is warming up, over all hosts; 0 if
 	 * unlimited. */
--- a/pkg/fleet/test/fleet_test.cc
+++ b/pkg/fleet/test/fleet_test.cc
@@ -87,6 +87,30 @@
 	EXPECT_EQ(choose(), b);
 }
 
+/* Guards against a request of one side of a rollout at an endpoint of the other. */
+TEST_F(Fleet, ChoosesByVersion)
+{
+	struct fleet_endpoint *a = upsert("a", "d1"), *b = upsert("b", "d1");
+	struct fleet_query q = {};
+	enum fleet_result result;
+
+	snprintf(a->entry.version, sizeof(a->entry.version), "v1");
+	snprintf(b->entry.version, sizeof(b->entry.version), "v2");
+	q.service = "s";
+	q.stage = FLEET_PLAIN;
+	q.version = "v2";
+	for (int i = 0; i < 20; i++) {
+		q.version_match = FLEET_VERSION_IS;
+		EXPECT_EQ(fleet_choose(&f, &q, now_us, &result), b);
+		q.version_match = FLEET_VERSION_IS_NOT;
+		EXPECT_EQ(fleet_choose(&f, &q, now_us, &result), a);
+	}
+	q.version = "v3";
+	q.version_match = FLEET_VERSION_IS;
+	EXPECT_EQ(fleet_choose(&f, &q, now_us, &result), nullptr);
+	EXPECT_EQ(result, FLEET_NO_ENDPOINT);
+}
+
 TEST_F(Fleet, EjectsAnEndpointAfterFailuresAndProbesItWithOneRequest)
 {
 	struct fleet_endpoint *a = upsert("a", "d1");
--- a/pkg/pool_settings/pool_settings.c
+++ b/pkg/pool_settings/pool_settings.c
@@ -11,6 +11,9 @@
 
 /* Fits the smallest hosts, which have 88 MB. */
 #define RESPONSE_MAX_KB_DEFAULT 4096
+#define ROLLOUT_STOP_MS_DEFAULT 5000
+/* Hedges use the retry budget, of which the rest is left for failures. */
+#define HEDGE_SHARE_MAX 0.2
 
 enum row_type {
 	ROW_NAME,
@@ -85,6 +88,19 @@
 	}
 }
 
+static void read_optional(struct jread_node *root, struct pool_settings *s)
+{
+	s->response_max_kb = (uint32_t)jread_double_or(
+		root, "response_max_kb", RESPONSE_MAX_KB_DEFAULT, 16, 1e6);
+	s->rollout_share = jread_double_or(root, "rollout_share", 0, 0, 1);
+	s->rollout_slack = jread_double_or(root, "rollout_slack", 0, 0, 1e9);
+	s->rollout_stop_ms = (uint32_t)jread_double_or(
+		root, "rollout_stop_ms", ROLLOUT_STOP_MS_DEFAULT, 100, 3.6e6);
+	s->hedge_share =
+		jread_double_or(root, "hedge_share", 0, 0, HEDGE_SHARE_MAX);
+	s->early_refusal = jread_bool_or(root, "early_refusal", false);
+}
+
 /* No error shows the value, since it may be the secret with a typing error. */
 static void read_secret(struct jread_node *root, struct pool_settings *s)
 {
@@ -116,8 +132,7 @@
 	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++)
 		read_row(&root, &rows[i], s);
 	read_secret(&root, s);
-	s->response_max_kb = (uint32_t)jread_double_or(
-		&root, "response_max_kb", RESPONSE_MAX_KB_DEFAULT, 16, 1e6);
+	read_optional(&root, s);
 	json_object_put(root.value);
 	return errors->n ? -EINVAL : 0;
 }
--- a/pkg/pool_settings/pool_settings.h
+++ b/pkg/pool_settings/pool_settings.h
@@ -38,6 +38,19 @@
 	double limit_slack;
 	/* Longest response body that is buffered, in KiB; optional. */
 	uint32_t response_max_kb;
+	/* Rollouts; optional. Part of a service's requests, over all hosts, that a
+	 * version may get before it is judged, and a number of requests beside it;
+	 * a share of 0, the default, turns rollouts off. A bad version gets nothing
+	 * later than rollout_stop_ms after that shows. */
+	double rollout_share;
+	double rollout_slack;
+	uint32_t rollout_stop_ms;
+	/* Part of a service's idempotent requests that may be hedged, over all
+	 * hosts; optional, 0 by default: none. */
+	double hedge_share;
+	/* Refuse a request at once if the backlog of its service over all hosts
+	 * leaves it no chance; optional, false by default. */
+	bool early_refusal;
 };
 
 /*
