fleet: choose by the slowness that endpoints state

Cause: endpoints that share their machines are slowed for moments, and differ in speed. The choice went by load only, and hosts that know loads of the same age converged on the same endpoint.

Change: the fourth number of Instance-Load is read and kept with the endpoint. Where an endpoint of the queried service and stage has stated it, the cost of plain calls and prefills follows the expected completion (pkg/fleet/completion.c), the better of two endpoints drawn at random is taken, and another domain gets work in proportion to what is saved there. Decode is chosen as before: see docs/design/uneven-endpoints.md.

--- a/cmd/figbend/gateway/notices.c
+++ b/cmd/figbend/gateway/notices.c
@@ -126,6 +126,8 @@
 	if (response->has_load)
 		fleet_record_load(e, response->running, response->waiting,
 				  now_us);
+	if (response->has_slowness)
+		fleet_record_slowness(e, response->slowness_percent, now_us);
 	if (fleet_record_limit(&g->fleet, e, response->limit_milli_per_s,
 			       now_us))
 		log_limit(e, request);
--- a/pkg/call/call.h
+++ b/pkg/call/call.h
@@ -83,6 +83,9 @@
 	uint32_t running;  /* requests being executed */
 	uint32_t waiting;  /* requests in the endpoint's queue */
 	uint32_t slots;	   /* requests that can run at once */
+	bool has_slowness; /* slowness_percent is valid */
+	/* How long work takes on the endpoint's machine now; 100 is usual. */
+	uint32_t slowness_percent;
 	/* Requests a second that the endpoint takes from all hosts together, in
 	 * thousandths; 0 if it names no limit. */
 	uint32_t limit_milli_per_s;
--- a/pkg/fleet/fleet.c
+++ b/pkg/fleet/fleet.c
@@ -1,4 +1,5 @@
 #include "fleet.h"
+#include "completion.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -403,6 +404,7 @@
 			e->latency_us = (double)took_us;
 		e->latency_us +=
 			((double)took_us - e->latency_us) * LATENCY_WEIGHT;
+		completion_learn(e, took_us);
 		break;
 	case FLEET_OVERLOADED:
 		e->full_until_us = now_us + full_backoff_us(e);
--- a/pkg/fleet/fleet.h
+++ b/pkg/fleet/fleet.h
@@ -77,6 +77,14 @@
 	int64_t used_turn;   /* the last one in which a request was sent */
 };
 
+/* How long work takes on an endpoint's machine, as its responses state it. */
+struct fleet_slowness {
+	int64_t stated_us; /* when it was last stated, 0 if never */
+	double last;	   /* as last stated; 1 is usual */
+	double mean;	   /* exponential average */
+	double work_us; /* average time of a call at slowness 1, 0 if unknown */
+};
+
 struct fleet_endpoint {
 	TAILQ_ENTRY(fleet_endpoint) link;
 	uint32_t refs;
@@ -103,6 +111,7 @@
 	uint32_t load_running;
 	uint32_t load_waiting;
 	int64_t load_us; /* when it was received, 0 if never */
+	struct fleet_slowness slowness;
 
 	uint32_t consecutive_failures;
 	/* End of the ejection. Stays set until a request succeeds; until then
@@ -251,7 +260,9 @@
 
 /*
  * Returns the endpoint with the lowest cost that satisfies the query and sets
- * *result to FLEET_FOUND, or returns NULL with the reason in *result.
+ * *result to FLEET_FOUND, or returns NULL with the reason in *result. If endpoints
+ * of the service and stage stated their slowness, it is the better one of two that
+ * are drawn at random.
  */
 struct fleet_endpoint *fleet_choose(struct fleet *f,
 				    const struct fleet_query *query,
@@ -306,6 +317,12 @@
 /* Records the load that the endpoint reported in a response. */
 void fleet_record_load(struct fleet_endpoint *e, uint32_t running,
 		       uint32_t waiting, int64_t now_us);
+/*
+ * Records how long work takes on the endpoint's machine, in percent of the usual
+ * time, as a response stated it.
+ */
+void fleet_record_slowness(struct fleet_endpoint *e, uint32_t percent,
+			   int64_t now_us);
 
 /*
  * Records the limit that the endpoint named in an answer at the given time, 0 if
