fleet: keep to a stated limit while the known hosts change

Cause: the turns of hosts at an endpoint with a limit follow from the number of known hosts. Whenever it changed, each host had another turn, which it could use at once.

Change: after a change of the hosts, of the rank or of the limit only turns that begin later count, and for a second every other one. A turn can be put off by 1.5 s instead of 2 s.

--- a/pkg/fleet/fleet.c
+++ b/pkg/fleet/fleet.c
@@ -33,6 +33,7 @@
 	strncpy(f->local_domain, domain, sizeof(f->local_domain) - 1);
 	f->hosts = 1;
 	f->limit_share = 1;
+	f->schedule = 1;
 	f->ranks = 1;
 	f->random = seed * 2 + 1;
 }
--- a/pkg/fleet/fleet.h
+++ b/pkg/fleet/fleet.h
@@ -75,6 +75,8 @@
 	int64_t refilled_us; /* when level was last brought up to date */
 	int64_t turn;	     /* number of this host's last turn */
 	int64_t used_turn;   /* the last one in which a request was sent */
+	uint32_t schedule;   /* fleet.schedule for which these are, or 0 */
+	int64_t schedule_us; /* when that was taken over */
 };
 
 /* How long work takes on an endpoint's machine, as its responses state it. */
@@ -159,6 +161,12 @@
 	uint32_t rank;
 	uint32_t ranks;
 	int64_t wall_offset_us;
+	/* A step of that clock that is not followed yet, and how many calls of
+	 * fleet_set_rank() had it. */
+	int64_t clock_step_us;
+	uint32_t clock_step_calls;
+	/* Counts changes of these: what was a turn before may be none now. */
+	uint32_t schedule;
 	uint64_t random; /* state of the random generator */
 };
 
@@ -302,7 +310,8 @@
 		      uint32_t all_waiting);
 /*
  * Sets this host's place among all hosts, 0 to ranks - 1, and what is added to
- * now_us to get a time that all hosts agree on.
+ * now_us to get a time that all hosts agree on. Called several times per second. A
+ * step of that time is followed after one to three minutes.
  */
 void fleet_set_rank(struct fleet *f, uint32_t rank, uint32_t ranks,
 		    int64_t wall_offset_us);
--- a/pkg/fleet/rate.c
+++ b/pkg/fleet/rate.c
@@ -1,6 +1,7 @@
 #include "rate.h"
 
 #include <math.h>
+#include <stdlib.h>
 
 #define COLD_WINDOW_US 1000000LL
 /* Part of the rate that is used if hosts draw their requests at random: then a
@@ -14,10 +15,27 @@
  * and for how long a larger share accumulates. */
 #define LIMIT_HOLD_S 2.0
 #define LIMIT_BURST_S 0.5
+/*
+ * How long a turn can be put off. After a pause all hosts whose turns began within
+ * that time send at once; with 2 s and clocks that differ by up to 1 s the
+ * tolerance of the limit was used up entirely.
+ */
+#define LIMIT_TURN_HOLD_S 1.5
+/*
+ * For this time after a change of its schedule a host uses every other turn. While
+ * hosts are added the schedule changes several times per second, and turns come at
+ * random instead of one after the other.
+ */
+#define UNSETTLED_US 1000000LL
 /* Hosts that an endpoint told at the same time to keep away return at different
  * times, later by up to this part of the wait and this time. */
 #define RETURN_SPREAD 0.25
 #define RETURN_SPREAD_MAX_US 1000000.
+/* Change of the time of day that counts as a step, and for how many calls of
+ * fleet_set_rank() it has to last before turns follow it: one to three
+ * minutes. */
+#define CLOCK_STEP_US 250000LL
+#define CLOCK_STEP_CALLS 300
 /* Lowest limit of an endpoint that is kept: its answers tell when it ends. */
 #define LIMIT_MIN_MILLI 100
 
@@ -109,8 +127,19 @@
 		      offset;
 
 	e->limit.turn = (int64_t)turn;
+	/* A change of the schedule gives turns to other hosts: who had one just
+	 * before and who has one just after would be too many together. */
+	if (e->limit.schedule != f->schedule) {
+		e->limit.schedule = f->schedule;
+		e->limit.schedule_us = now_us;
+		e->limit.used_turn = e->limit.turn;
+	}
+	if (now_us - e->limit.schedule_us < UNSETTLED_US &&
+	    (e->limit.turn + f->rank) % 2)
+		return true;
 	return e->limit.turn == e->limit.used_turn ||
-	       turn - floor(turn) >= (LIMIT_HOLD_S + 1 / limit) * turns_per_s;
+	       turn - floor(turn) >=
+		       (LIMIT_TURN_HOLD_S + 1 / limit) * turns_per_s;
 }
 
 /* Returns true if this host may not send to the endpoint because of its limit. */
@@ -142,12 +171,35 @@
 	f->limit_share = (1. + waiting) / ((double)hosts + all_waiting);
 }
 
+/*
+ * Returns the offset by which turns go. A step of the clock is followed only after
+ * it has lasted, since the clocks of other hosts did not step.
+ */
+static int64_t settle_clock(struct fleet *f, int64_t wall_offset_us)
+{
+	if (!f->wall_offset_us ||
+	    llabs(wall_offset_us - f->wall_offset_us) <= CLOCK_STEP_US) {
+		f->clock_step_calls = 0;
+		return wall_offset_us;
+	}
+	if (llabs(wall_offset_us - f->clock_step_us) > CLOCK_STEP_US)
+		f->clock_step_calls = 0;
+	f->clock_step_us = wall_offset_us;
+	if (++f->clock_step_calls < CLOCK_STEP_CALLS)
+		return f->wall_offset_us;
+	f->schedule++;
+	f->clock_step_calls = 0;
+	return wall_offset_us;
+}
+
 void fleet_set_rank(struct fleet *f, uint32_t rank, uint32_t ranks,
 		    int64_t wall_offset_us)
 {
+	if (rank != f->rank || ranks != f->ranks)
+		f->schedule++;
 	f->rank = rank;
 	f->ranks = ranks;
-	f->wall_offset_us = wall_offset_us;
+	f->wall_offset_us = settle_clock(f, wall_offset_us);
 }
 
 /* A share begins anywhere below one request, so that the hosts' first ones do not
@@ -167,6 +219,8 @@
 		l->level = fleet_random(f);
 		l->refilled_us = at_us;
 	}
+	if (changed)
+		l->schedule = 0;
 	l->milli_per_s = limit_milli_per_s;
 	l->named_us = at_us;
 	return changed;
