--- a/pkg/fleet/fleet.c
+++ b/pkg/fleet/fleet.c
@@ -1,4 +1,5 @@
 #include "fleet.h"
+#include "completion.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -32,6 +33,7 @@
 	strncpy(f->local_domain, domain, sizeof(f->local_domain) - 1);
 	f->hosts = 1;
 	f->limit_share = 1;
+	f->schedule = 1;
 	f->ranks = 1;
 	f->random = seed * 2 + 1;
 }
@@ -403,6 +405,7 @@
 			e->latency_us = (double)took_us;
 		e->latency_us +=
 			((double)took_us - e->latency_us) * LATENCY_WEIGHT;
+		completion_learn(e, took_us);
 		break;
 	case FLEET_OVERLOADED:
 		e->full_until_us = now_us + full_backoff_us(e);
--- a/pkg/fleet/fleet.h
+++ b/pkg/fleet/fleet.h
@@ -75,6 +75,16 @@
 	int64_t refilled_us; /* when level was last brought up to date */
 	int64_t turn;	     /* number of this host's last turn */
 	int64_t used_turn;   /* the last one in which a request was sent */
+	uint32_t schedule;   /* fleet.schedule for which these are, or 0 */
+	int64_t schedule_us; /* when that was taken over */
+};
+
+/* How long work takes on an endpoint's machine, as its responses state it. */
+struct fleet_slowness {
+	int64_t stated_us; /* when it was last stated, 0 if never */
+	double last;	   /* as last stated; 1 is usual */
+	double mean;	   /* exponential average */
+	double work_us; /* average time of a call at slowness 1, 0 if unknown */
 };
 
 struct fleet_endpoint {
@@ -103,6 +113,7 @@
 	uint32_t load_running;
 	uint32_t load_waiting;
 	int64_t load_us; /* when it was received, 0 if never */
+	struct fleet_slowness slowness;
 
 	uint32_t consecutive_failures;
 	/* End of the ejection. Stays set until a request succeeds; until then
@@ -150,6 +161,12 @@
 	uint32_t rank;
 	uint32_t ranks;
 	int64_t wall_offset_us;
+	/* A step of that clock that is not followed yet, and how many calls of
+	 * fleet_set_rank() had it. */
+	int64_t clock_step_us;
+	uint32_t clock_step_calls;
+	/* Counts changes of these: what was a turn before may be none now. */
+	uint32_t schedule;
 	uint64_t random; /* state of the random generator */
 };
 
@@ -251,7 +268,9 @@
 
 /*
  * Returns the endpoint with the lowest cost that satisfies the query and sets
- * *result to FLEET_FOUND, or returns NULL with the reason in *result.
+ * *result to FLEET_FOUND, or returns NULL with the reason in *result. If endpoints
+ * of the service and stage stated their slowness, it is the better one of two that
+ * are drawn at random.
  */
 struct fleet_endpoint *fleet_choose(struct fleet *f,
 				    const struct fleet_query *query,
@@ -291,7 +310,8 @@
 		      uint32_t all_waiting);
 /*
  * Sets this host's place among all hosts, 0 to ranks - 1, and what is added to
- * now_us to get a time that all hosts agree on.
+ * now_us to get a time that all hosts agree on. Called several times per second. A
+ * step of that time is followed after one to three minutes.
  */
 void fleet_set_rank(struct fleet *f, uint32_t rank, uint32_t ranks,
 		    int64_t wall_offset_us);
@@ -306,6 +326,12 @@
 /* Records the load that the endpoint reported in a response. */
 void fleet_record_load(struct fleet_endpoint *e, uint32_t running,
 		       uint32_t waiting, int64_t now_us);
+/*
+ * Records how long work takes on the endpoint's machine, in percent of the usual
+ * time, as a response stated it.
+ */
+void fleet_record_slowness(struct fleet_endpoint *e, uint32_t percent,
+			   int64_t now_us);
 
 /*
  * Records the limit that the endpoint named in an answer at the given time, 0 if
