pools: a second attempt of a slow idempotent call beside its first one

A call whose endpoint is unusually slow waited for it, or for the time-out at three latency targets. With hedge_share set, hedge.c sends a second attempt after the quantile of pkg/hedge; the first complete, valid response wins and the other exchange is canceled. If one attempt fails, the other one goes on as the request's only one, for which an exchange can move to other memory (h1_exchange_move). An endpoint that answered nothing while its attempt lost is ejected after three such losses in a row (FLEET_SILENT), since a canceled attempt no longer times out.

--- a/cmd/figbend/gateway/crash.c
+++ b/cmd/figbend/gateway/crash.c
@@ -158,7 +158,7 @@
 }
 
 /* See gateway.h. An endpoint that leaves in order closes its connections. */
-void crash_charge(struct req *r)
+void crash_charge(struct req *r, const struct fleet_endpoint *e)
 {
 	struct gateway *g = r->g;
 	int64_t now_us = gateway_now_us(g);
@@ -166,19 +166,18 @@
 	struct poison_break brk;
 	uint32_t n;
 
-	if (r->endpoint->entry.draining)
+	if (e->entry.draining)
 		return;
 	n = fill_keys(&r->call, r->account, &r->conn->request.body, key);
-	brk.endpoint = r->endpoint->start_key;
+	brk.endpoint = e->start_key;
 	brk.at_us = now_us;
 	/* The store may show the crash before the connection breaks. */
-	brk.confirmed = !r->endpoint->listed && !r->endpoint->lapsed;
+	brk.confirmed = !e->listed && !e->lapsed;
 	poison_charge(&g->poison, key, n, &brk, now_us);
 	stats_add(&g->stats, STATS_CRASH_SUSPECTS, 1);
 	logline(LOG_WARNING, "answer_broken",
 		"request=%s endpoint=%s fingerprint=%016llx parts=%u",
-		r->call.id, r->endpoint->entry.id,
-		(unsigned long long)key[n - 1], n - 1);
+		r->call.id, e->entry.id, (unsigned long long)key[n - 1], n - 1);
 	send_changes(g, now_us);
 }
 
--- a/cmd/figbend/gateway/gateway.c
+++ b/cmd/figbend/gateway/gateway.c
@@ -250,6 +250,7 @@
 	h1_client_init(&g->store, g->loop, STORE_CONNECT_TIMEOUT_S, IDLE_MAX_S);
 	drain_init(&g->drain, s->stop_s);
 	crash_init(g);
+	hedge_start(g);
 	req_init(g);
 	r = heartbeat_init(g);
 	if (r < 0)
@@ -289,5 +290,6 @@
 	h1_client_finish(&g->endpoints);
 	h1_client_finish(&g->store);
 	fleet_finish(&g->fleet);
+	hedge_stop(g);
 	logline_flush();
 }
--- a/cmd/figbend/gateway/gateway.h
+++ b/cmd/figbend/gateway/gateway.h
@@ -12,6 +12,7 @@
 #include "drain.h"
 #include "fleet.h"
 #include "h1.h"
+#include "hedge.h"
 #include "peer.h"
 #include "poison.h"
 #include "pool_settings.h"
@@ -152,6 +153,8 @@
 	int64_t notices_sent_us; /* notices.c: last time to a few hosts */
 
 	struct spread spread; /* record_fetch.c */
+
+	struct hedge *hedge; /* hedge.c; NULL if hedging is off */
 };
 
 /*
@@ -303,10 +306,10 @@
 /* crash.c: finds what crashes endpoints, and blocks it. */
 void crash_init(struct gateway *g);
 /*
- * The connection to the request's endpoint broke, and the endpoint may have
+ * The connection to an endpoint of the request broke, and the endpoint may have
  * begun to execute the request, but no answer had begun.
  */
-void crash_charge(struct req *r);
+void crash_charge(struct req *r, const struct fleet_endpoint *e);
 /* An answer to the request has begun: it does not crash endpoints. */
 void crash_acquit(struct req *r);
 /* The store shows that the endpoint crashed or restarted. */
@@ -345,6 +348,11 @@
 /* Sends what this host knows to a few hosts, if it is time to. */
 void notices_send(struct gateway *g);
 
+/* hedge.c: second attempts beside the first ones. Does nothing if the settings turn
+ * them off. */
+void hedge_start(struct gateway *g);
+void hedge_stop(struct gateway *g);
+
 /* view.c: writes what this host knows of each endpoint, one a line. Returns 0 or
  * -ENOMEM. */
 int view_write_endpoints(struct gateway *g, struct h1_buf *out);
--- a/cmd/figbend/gateway/plain.c
+++ b/cmd/figbend/gateway/plain.c
@@ -19,14 +19,15 @@
 /* Time between checks whether another endpoint can take the request by then. */
 #define RETRY_CHECK_US 100000LL
 
-static void attempt_failed(struct req *r, enum fleet_outcome outcome,
-			   bool may_have_executed, const char *reason);
+static void attempt_failed(struct req *r, const struct plain_result *result);
 
 static void fail_exchange(struct req *r, const char *reason)
 {
+	struct plain_result result = {FLEET_FAILED, true, reason};
+
 	h1_exchange_cancel(&r->exchange);
 	req_set_step_timer(r, 0);
-	attempt_failed(r, FLEET_FAILED, true, reason);
+	attempt_failed(r, &result);
 }
 
 static enum h1_verdict on_head(void *ctx, const struct h1_head *h)
@@ -43,6 +44,7 @@
 		fail_exchange(r, REQ_UNKNOWN_REASON);
 		return H1_DISCARD;
 	}
+	r->answer_began = true;
 	r->has_signature = response.signature && !response.encoded;
 	h1_buf_finish(&r->fields);
 	req_drop_response(r);
@@ -59,72 +61,104 @@
 		fail_exchange(r, reason);
 }
 
+/* See req.h. */
+struct plain_result plain_judge(const struct plain_response *p,
+				enum h1_outcome outcome, const char *reason)
+{
+	if (outcome == H1_NOT_SENT)
+		return (struct plain_result){FLEET_CONNECT_FAILED, false,
+					     reason};
+	if (outcome != H1_COMPLETE)
+		return (struct plain_result){FLEET_FAILED, true, reason};
+	if (p->not_executed && p->status == 421)
+		return (struct plain_result){
+			FLEET_MISDIRECTED, false,
+			"another endpoint responded at the address"};
+	if (p->not_executed)
+		return (struct plain_result){
+			FLEET_OVERLOADED, false,
+			"endpoint did not execute the request"};
+	if (!p->has_signature)
+		return (struct plain_result){
+			FLEET_FAILED, true,
+			"response without the endpoint's signature"};
+	return (struct plain_result){FLEET_SUCCESS, true, ""};
+}
+
 static void on_end(void *ctx, enum h1_outcome outcome, const char *reason)
 {
 	struct req *r = ctx;
+	struct plain_response response = {r->status, r->not_executed,
+					  r->has_signature};
+	struct plain_result result = plain_judge(&response, outcome, reason);
 	int64_t now_us = gateway_now_us(r->g);
 
 	req_set_step_timer(r, 0);
-	if (outcome == H1_NOT_SENT) {
-		attempt_failed(r, FLEET_CONNECT_FAILED, false, reason);
-	} else if (outcome != H1_COMPLETE) {
-		crash_charge(r);
-		attempt_failed(r, FLEET_FAILED, true, reason);
-	} else if (r->not_executed) {
-		attempt_failed(
-			r,
-			r->status == 421 ? FLEET_MISDIRECTED : FLEET_OVERLOADED,
-			false,
-			r->status == 421
-				? "another endpoint responded at the address"
-				: "endpoint did not execute the request");
-	} else if (!r->has_signature) {
-		attempt_failed(r, FLEET_FAILED, true,
-			       "response without the endpoint's signature");
-	} else {
-		fleet_record_outcome(r->endpoint, FLEET_SUCCESS,
-				     now_us - r->sent_us, now_us);
-		crash_acquit(r);
-		req_complete(r);
+	if (outcome == H1_INCOMPLETE || outcome == H1_NO_RESPONSE)
+		crash_charge(r, r->endpoint);
+	if (result.outcome != FLEET_SUCCESS) {
+		attempt_failed(r, &result);
+		return;
 	}
+	fleet_record_outcome(r->endpoint, FLEET_SUCCESS, now_us - r->sent_us,
+			     now_us);
+	crash_acquit(r);
+	hedge_observe_first(r);
+	hedge_finish(r, HEDGE_FIRST_WON);
+	req_complete(r);
 }
 
-static const struct h1_exchange_handlers handlers = {on_head, on_body, on_end};
+const struct h1_exchange_handlers plain_handlers = {on_head, on_body, on_end};
 
-/* Records a failed attempt, and retries the request or ends it. */
-static void attempt_failed(struct req *r, enum fleet_outcome outcome,
-			   bool may_have_executed, const char *reason)
+/* See req.h. */
+void plain_record_failure(struct req *r, struct fleet_endpoint *e,
+			  const struct plain_result *result, int64_t sent_us)
 {
 	int64_t now_us = gateway_now_us(r->g);
 
 	logline(LOG_INFO, "send_failed",
 		"request=%s endpoint=%s why=\"%s\" may_have_run=%d "
 		"took_ms=%lld running=%u load_age_ms=%lld",
-		r->call.id, r->endpoint->entry.id, reason, may_have_executed,
-		(long long)(now_us - r->sent_us) / 1000, r->endpoint->running,
-		(long long)(now_us - r->endpoint->load_us) / 1000);
-	fleet_record_outcome(r->endpoint, outcome, now_us - r->sent_us, now_us);
-	req_drop_response(r);
-	req_exclude_endpoint(r, r->endpoint);
-	req_detach_endpoint(r);
-	if (outcome != FLEET_CONNECT_FAILED)
+		r->call.id, e->entry.id, result->reason,
+		result->may_have_executed, (long long)(now_us - sent_us) / 1000,
+		e->running, (long long)(now_us - e->load_us) / 1000);
+	fleet_record_outcome(e, result->outcome, now_us - sent_us, now_us);
+	req_exclude_endpoint(r, e);
+	if (result->outcome != FLEET_CONNECT_FAILED)
 		r->failed_attempts++;
-	if (may_have_executed)
+	if (result->may_have_executed)
 		r->executions++;
-	if (may_have_executed && (!req_may_execute_again(r) ||
-				  r->executions >= r->route->attempts_max)) {
-		req_fail(r, 502, reason);
+}
+
+/* Records a failed attempt, and goes on with another one or ends the request. */
+static void attempt_failed(struct req *r, const struct plain_result *result)
+{
+	plain_record_failure(r, r->endpoint, result, r->sent_us);
+	req_drop_response(r);
+	req_detach_endpoint(r);
+	if (!hedge_take_over(r))
+		plain_retry(r, result);
+}
+
+/* See req.h. */
+void plain_retry(struct req *r, const struct plain_result *result)
+{
+	if (result->may_have_executed &&
+	    (!req_may_execute_again(r) ||
+	     r->executions >= r->route->attempts_max)) {
+		req_fail(r, 502, result->reason);
 		return;
 	}
 	/* What was not sent leaves its retry, if it was one, to the next. */
-	if (outcome != FLEET_CONNECT_FAILED && !req_consume_retry(r)) {
-		req_refuse(r, reason);
+	if (result->outcome != FLEET_CONNECT_FAILED && !req_consume_retry(r)) {
+		req_refuse(r, result->reason);
 		return;
 	}
 	req_advance(r);
 }
 
-static void fill_query(struct req *r, struct fleet_query *query)
+/* See req.h. */
+void plain_fill_query(struct req *r, struct fleet_query *query)
 {
 	*query = (struct fleet_query){
 		.service = r->service->name,
@@ -141,6 +175,15 @@
 	return ATTEMPT_TIMEOUT_TARGETS * 1000LL * r->route->target_latency_ms;
 }
 
+/* See req.h. A time-out helps only if a retry is allowed and has as much time. */
+void plain_start_timeout(struct req *r)
+{
+	if (r->route->kind == CALL_IDEMPOTENT &&
+	    r->executions + 1 < r->route->attempts_max &&
+	    req_remaining_us(r) > 2 * attempt_timeout_us(r))
+		req_set_step_timer(r, attempt_timeout_us(r));
+}
+
 void plain_advance(struct req *r)
 {
 	struct gateway *g = r->g;
@@ -148,8 +191,10 @@
 	struct fleet_query query;
 	enum fleet_result result;
 	struct fleet_endpoint *e;
+	static const struct plain_result no_socket = {
+		FLEET_CONNECT_FAILED, false, "cannot open a socket"};
 
-	fill_query(r, &query);
+	plain_fill_query(r, &query);
 	e = fleet_choose(&g->fleet, &query, now_us, &result);
 	/* An endpoint that failed once is better than none. */
 	if (!e && r->n_excluded) {
@@ -176,29 +221,28 @@
 	r->counted = true;
 	r->step = REQ_SENT;
 	fleet_request_start(e, 0, 0);
-	if (req_send(r, e, CALL_FULL, &handlers) < 0) {
-		attempt_failed(r, FLEET_CONNECT_FAILED, false,
-			       "cannot open a socket");
+	if (req_send(r, e, CALL_FULL, &plain_handlers) < 0) {
+		attempt_failed(r, &no_socket);
 		return;
 	}
-	/* A time-out helps only if a retry is allowed and has as much time. */
-	if (r->route->kind == CALL_IDEMPOTENT &&
-	    r->executions + 1 < r->route->attempts_max &&
-	    req_remaining_us(r) > 2 * attempt_timeout_us(r))
-		req_set_step_timer(r, attempt_timeout_us(r));
+	plain_start_timeout(r);
+	hedge_watch(r);
 }
 
 void plain_timeout(struct req *r)
 {
-	bool sent = h1_exchange_sent(&r->exchange);
+	struct plain_result result = {FLEET_TIMED_OUT,
+				      h1_exchange_sent(&r->exchange),
+				      "attempt timed out"};
 	struct fleet_query query;
 
-	fill_query(r, &query);
+	plain_fill_query(r, &query);
 	if (!req_may_move(r, &query)) {
 		if (req_remaining_us(r) > attempt_timeout_us(r))
 			req_set_step_timer(r, RETRY_CHECK_US);
 		return;
 	}
 	h1_exchange_cancel(&r->exchange);
-	attempt_failed(r, FLEET_TIMED_OUT, sent, "attempt timed out");
+	hedge_observe_first(r);
+	attempt_failed(r, &result);
 }
--- a/cmd/figbend/gateway/pools.c
+++ b/cmd/figbend/gateway/pools.c
@@ -332,7 +332,7 @@
 	}
 	/* A crashed endpoint may close its connections in order. */
 	if (r->until_close && !r->answer_began) {
-		crash_charge(r);
+		crash_charge(r, r->endpoint);
 		decode_failed(r, FLEET_FAILED, true,
 			      "stream ended before its first event");
 		return;
@@ -363,7 +363,7 @@
 		decode_failed(r, FLEET_CONNECT_FAILED, false, reason);
 	} else if (outcome != H1_COMPLETE) {
 		if (!r->answer_began)
-			crash_charge(r);
+			crash_charge(r, r->endpoint);
 		decode_failed(r, FLEET_FAILED, true, reason);
 	} else if (r->not_executed) {
 		decode_failed(r,
--- a/cmd/figbend/gateway/req.c
+++ b/cmd/figbend/gateway/req.c
@@ -68,7 +68,7 @@
 /* Returns true if an endpoint may have executed the request, or may yet. */
 static bool may_have_executed(const struct req *r)
 {
-	return r->executions || r->response_started ||
+	return r->executions || r->response_started || hedge_was_sent(r) ||
 	       (r->step == REQ_SENT && h1_exchange_sent(&r->exchange));
 }
 
@@ -102,6 +102,7 @@
 	uint32_t i;
 
 	pools_release(r);
+	hedge_finish(r, HEDGE_REQUEST_ENDED);
 	h1_exchange_cancel(&r->exchange);
 	req_detach_endpoint(r);
 	fleet_unref(r->prefill_endpoint);
@@ -168,7 +169,8 @@
 /* The memory that buffers take counts, which is up to twice their content. */
 const char *req_count_response(struct req *r)
 {
-	size_t n = r->body.capacity + r->events.partial.capacity;
+	size_t n = r->body.capacity + r->events.partial.capacity +
+		   hedge_response_bytes(r);
 
 	r->g->response_bytes += n - r->response_bytes;
 	r->response_bytes = n;
@@ -474,8 +476,8 @@
 	return false;
 }
 
-int req_send(struct req *r, struct fleet_endpoint *e, enum call_phase phase,
-	     const struct h1_exchange_handlers *h)
+int req_send_on(struct req *r, struct h1_exchange *x, struct fleet_endpoint *e,
+		enum call_phase phase, const struct h1_exchange_handlers *h)
 {
 	struct call_attempt attempt = {
 		.phase = phase,
@@ -503,12 +505,10 @@
 		attempt.reservation = r->reservation;
 	adapter_write_call(&request, &r->conn->request.head,
 			   &r->conn->request.body, &attempt);
-	r->sent_us = gateway_now_us(r->g);
-	r->answer_began = false;
-	r->exchange.no_body = h1_is_head_request(&r->conn->request.head);
-	error = h1_exchange_start(&r->g->endpoints, &r->exchange,
-				  &e->entry.addr, h1_buf_data(&request),
-				  h1_buf_len(&request), h, r);
+	x->no_body = h1_is_head_request(&r->conn->request.head);
+	error = h1_exchange_start(&r->g->endpoints, x, &e->entry.addr,
+				  h1_buf_data(&request), h1_buf_len(&request),
+				  h, r);
 	h1_buf_finish(&request);
 	stats_add(&r->g->stats, STATS_SENDS, 1);
 	logline(LOG_DEBUG, "send",
@@ -520,27 +520,29 @@
 }
 
 /* Calls for a reservation carry no request id. */
-static enum req_answer identify(const struct req *r, const char *request_id)
+static enum req_answer identify(const struct req *r,
+				const struct h1_exchange *x,
+				const char *request_id)
 {
 	bool has_id = r->step != REQ_RESERVING;
 
 	if (!request_id)
-		return has_id && !h1_exchange_is_first(&r->exchange)
-			       ? REQ_ANSWER_UNKNOWN
-			       : REQ_ANSWER_OWN;
+		return has_id && !h1_exchange_is_first(x) ? REQ_ANSWER_UNKNOWN
+							  : REQ_ANSWER_OWN;
 	return has_id && strcmp(request_id, r->call.id) == 0
 		       ? REQ_ANSWER_OWN
 		       : REQ_ANSWER_FOREIGN;
 }
 
-enum req_answer req_read_answer(struct req *r, struct fleet_endpoint *e,
-				const struct h1_head *h,
-				struct call_response *out)
+enum req_answer req_read_answer_on(struct req *r, struct h1_exchange *x,
+				   struct fleet_endpoint *e,
+				   const struct h1_head *h,
+				   struct call_response *out)
 {
 	enum req_answer answer;
 
 	adapter_read_response(h, out);
-	answer = identify(r, out->request_id);
+	answer = identify(r, x, out->request_id);
 	if (answer != REQ_ANSWER_OWN) {
 		stats_add(&r->g->stats, STATS_RESPONSES_MISMATCHED, 1);
 		logline(LOG_WARNING, "answer_foreign",
@@ -550,12 +552,10 @@
 		return answer;
 	}
 	notices_record(r->g, e, out, h->status, r->call.id);
-	r->status = h->status;
-	r->not_executed = out->not_executed;
 	/* A second copy of a refusal cannot be told from one of the next
 	 * attempt of the same request. */
 	if (out->not_executed)
-		h1_exchange_close_after(&r->exchange);
+		h1_exchange_close_after(x);
 	return REQ_ANSWER_OWN;
 }
 
--- a/cmd/figbend/gateway/req.h
+++ b/cmd/figbend/gateway/req.h
@@ -43,7 +43,11 @@
 	int64_t wait_start_us; /* start of the present wait; 0 if none */
 	double estimated_work; /* KV tokens times output tokens; 0 if plain */
 
-	struct h1_exchange exchange;	 /* with an endpoint; one at a time */
+	struct h1_exchange exchange; /* with an endpoint */
+	/* The second exchange beside it, or its timer; NULL if none. */
+	struct req_hedge *hedge;
+	bool hedged;			 /* a second exchange was started */
+	bool call_counted;		 /* by pkg/hedge */
 	struct fleet_endpoint *endpoint; /* reference, or NULL if none chosen */
 	/* Processes the prompt, or has done so; reference, or NULL. */
 	struct fleet_endpoint *prefill_endpoint;
@@ -52,9 +56,11 @@
 	bool prefill_counted;	 /* prompt counted at prefill_endpoint */
 	char reservation[ADAPTER_HANDLE_BYTES];	   /* empty if none */
 	char prefill_handle[ADAPTER_HANDLE_BYTES]; /* empty if none */
-	bool skip_prefill;	  /* the decode endpoint processes the prompt */
-	int64_t sent_us;	  /* start of the current exchange */
-	bool answer_began;	  /* an event arrived in the current exchange */
+	bool skip_prefill; /* the decode endpoint processes the prompt */
+	int64_t sent_us;   /* start of the current exchange */
+	/* An event, or the head of a plain response, arrived in the current
+	 * exchange. */
+	bool answer_began;
 	uint32_t failed_attempts; /* connect failures excluded */
 	/* Failed attempts that may have executed the request. */
 	uint32_t executions;
@@ -187,6 +193,13 @@
 int req_send(struct req *r, struct fleet_endpoint *e, enum call_phase phase,
 	     const struct h1_exchange_handlers *h);
 
+/*
+ * The same for an exchange other than that of the request; its start is not recorded
+ * in the request.
+ */
+int req_send_on(struct req *r, struct h1_exchange *x, struct fleet_endpoint *e,
+		enum call_phase phase, const struct h1_exchange_handlers *h);
+
 /* To which request a response belongs. */
 enum req_answer {
 	REQ_ANSWER_OWN,	    /* to the present exchange */
@@ -206,6 +219,11 @@
 enum req_answer req_read_answer(struct req *r, struct fleet_endpoint *e,
 				const struct h1_head *h,
 				struct call_response *out);
+/* The same for a response of the exchange x; sets nothing in the request. */
+enum req_answer req_read_answer_on(struct req *r, struct h1_exchange *x,
+				   struct fleet_endpoint *e,
+				   const struct h1_head *h,
+				   struct call_response *out);
 
 /* stop.c: requests during a planned stop of this host. */
 
@@ -223,6 +241,71 @@
 void plain_advance(struct req *r);
 /* Handles the step timer. May free r. */
 void plain_timeout(struct req *r);
+/* Fills the query for an endpoint of the request. */
+void plain_fill_query(struct req *r, struct fleet_query *query);
+/* Starts the time-out of the request's only attempt, if a retry would help. */
+void plain_start_timeout(struct req *r);
+/* The handlers of the request's own exchange. */
+extern const struct h1_exchange_handlers plain_handlers;
+
+/* How an attempt at a plain endpoint ended. */
+struct plain_result {
+	enum fleet_outcome outcome;
+	bool may_have_executed;
+	const char *reason; /* "" if it is FLEET_SUCCESS */
+};
+
+/* The parts of a response that an attempt is judged by. */
+struct plain_response {
+	uint16_t status;
+	bool not_executed;
+	bool has_signature;
+};
+
+/* Judges an exchange that has ended. */
+struct plain_result plain_judge(const struct plain_response *p,
+				enum h1_outcome outcome, const char *reason);
+/*
+ * Records a failed attempt at e, which was sent at sent_us, with the request and the
+ * endpoint.
+ */
+void plain_record_failure(struct req *r, struct fleet_endpoint *e,
+			  const struct plain_result *result, int64_t sent_us);
+/*
+ * Retries the request or ends it after its last attempt has failed. Frees r, or
+ * goes on.
+ */
+void plain_retry(struct req *r, const struct plain_result *result);
+
+/* hedge.c: a second attempt beside the first one of a plain request. */
+
+/* How the time with two attempts ends. */
+enum hedge_end {
+	HEDGE_REQUEST_ENDED, /* by its caller or its deadline */
+	HEDGE_FIRST_WON,
+	HEDGE_SECOND_WON,
+	HEDGE_FIRST_FAILED, /* the other one goes on */
+	HEDGE_SECOND_FAILED,
+};
+
+/* The first attempt was sent: starts the time after which a second one follows. */
+void hedge_watch(struct req *r);
+/* Records the time of the first attempt, which was answered, canceled or timed out. */
+void hedge_observe_first(struct req *r);
+/*
+ * Ends the wait for a second attempt, or cancels it, releases what it counted and
+ * logs how it ended. Does nothing if there is neither.
+ */
+void hedge_finish(struct req *r, enum hedge_end end);
+/*
+ * The first attempt has failed and is detached: the second one, if it runs, takes its
+ * place. Returns false if none runs.
+ */
+bool hedge_take_over(struct req *r);
+/* Returns true if the second attempt may be executed. */
+bool hedge_was_sent(const struct req *r);
+/* Returns the memory of the second attempt's response. */
+size_t hedge_response_bytes(const struct req *r);
 
 /* pools.c: model engines with separate prefill and decode pools. */
 
--- a/pkg/fleet/fleet.c
+++ b/pkg/fleet/fleet.c
@@ -408,6 +408,10 @@
 		e->full_until_us = now_us + full_backoff_us(e);
 		e->refusals++;
 		break;
+	case FLEET_SILENT:
+		if (++e->consecutive_failures >= FAILURES_MAX)
+			eject(e, now_us);
+		break;
 	case FLEET_MISDIRECTED:
 		e->consecutive_failures = FAILURES_MAX;
 		eject(e, now_us);
--- a/pkg/fleet/fleet.h
+++ b/pkg/fleet/fleet.h
@@ -52,6 +52,9 @@
 	FLEET_FAILED,	  /* response missing, incomplete or not authentic */
 	FLEET_CONNECT_FAILED,
 	FLEET_TIMED_OUT,
+	/* Canceled, as another endpoint was faster; this one has responded to
+	 * nothing since the attempt was sent. Several in a row eject it. */
+	FLEET_SILENT,
 	FLEET_MISDIRECTED, /* another endpoint has the address (HTTP 421) */
 };
 
--- a/pkg/h1/client.c
+++ b/pkg/h1/client.c
@@ -437,6 +437,16 @@
 	x->conn = NULL;
 }
 
+void h1_exchange_move(struct h1_exchange *to, struct h1_exchange *from,
+		      const struct h1_exchange_handlers *h, void *ctx)
+{
+	*to = *from;
+	to->handlers = h;
+	to->ctx = ctx;
+	to->conn->exchange = to;
+	from->conn = NULL;
+}
+
 bool h1_exchange_sent(const struct h1_exchange *x)
 {
 	return x->conn && x->conn->sent_bytes > 0;
--- a/pkg/h1/h1.h
+++ b/pkg/h1/h1.h
@@ -441,6 +441,12 @@
  * the connection, as the response may still arrive on it.
  */
 void h1_exchange_cancel(struct h1_exchange *x);
+/*
+ * Moves a running exchange to other memory, with other handlers. Must not be called
+ * from a handler of the exchange itself; to must not be running.
+ */
+void h1_exchange_move(struct h1_exchange *to, struct h1_exchange *from,
+		      const struct h1_exchange_handlers *h, void *ctx);
 /* Returns true if a running exchange has sent a byte of its request. */
 bool h1_exchange_sent(const struct h1_exchange *x);
 
--- a/pkg/stats/stats.h
+++ b/pkg/stats/stats.h
@@ -61,6 +61,26 @@
 	  "answers 503 that asked this host to keep away for a time")          \
 	X(CRASH_SUSPECTS, "crash_suspects",                                    \
 	  "connections that broke before the answer had begun")                \
+	X(HEDGES, "hedges", "second attempts sent beside a first one")         \
+	X(HEDGES_WON, "hedges_won", "second attempts that answered first")     \
+	X(HEDGE_LOSER_MS, "hedge_loser_ms",                                    \
+	  "milliseconds that attempts ran which lost to the other one")        \
+	X(HEDGES_DENIED_FEW_ANSWERS, "hedges_denied_few_answers",              \
+	  "calls without a hedge: too few answers seen")                       \
+	X(HEDGES_DENIED_ATTEMPTS, "hedges_denied_attempts",                    \
+	  "calls without a hedge: no attempt left")                            \
+	X(HEDGES_DENIED_DEADLINE, "hedges_denied_deadline",                    \
+	  "calls without a hedge: near the deadline, or the host stops")       \
+	X(HEDGES_DENIED_FULL, "hedges_denied_full",                            \
+	  "calls without a hedge: the service is full")                        \
+	X(HEDGES_DENIED_LIMITED, "hedges_denied_limited",                      \
+	  "calls without a hedge: an endpoint names a limit or wants nothing") \
+	X(HEDGES_DENIED_NO_ENDPOINT, "hedges_denied_no_endpoint",              \
+	  "calls without a hedge: no other endpoint is sound")                 \
+	X(HEDGES_DENIED_BUDGET, "hedges_denied_budget",                        \
+	  "calls without a hedge: the retry budget is used")                   \
+	X(HEDGES_DENIED_SHARE, "hedges_denied_share",                          \
+	  "calls without a hedge: the share is used")                          \
 	X(STORE_CALLS, "store_calls", "calls to the store")                    \
 	X(STORE_FAILURES, "store_failures", "calls to the store that failed")  \
 	X(CONNECTS, "connects", "connections opened to endpoints")             \
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -2639,6 +2639,204 @@
         h.binary, "--pools", h.settings_path, stdout=h.unread_pipe)
 
 
+async def start_hedging(d, share=0.2, domains=("a", "b")):
+    """Plain endpoints, and hosts that know how long their calls take."""
+    d.publish_config()
+    for domain in domains:
+        await d.add_endpoint("plain", domain)
+    for h in d.hosts:
+        h.change_settings(hedge_share=share)
+    await d.start()
+    await d.wait_ready()
+    for _ in range(25):
+        rid, r = await d.request("idempotent")
+        assert r.status == 200, r.status
+
+
+def set_faults(d, *faults):
+    """The next request to any endpoint gets the first fault, the next the second."""
+    rest = list(faults)
+    for e in d.endpoints:
+        e.next_fault = lambda: rest.pop(0) if rest else None
+
+
+async def counters(d, host=0):
+    text = await metrics_page(d, b"/metrics", host)
+    return {line.split()[0][8:-6]: int(line.split()[1])
+            for line in text.splitlines() if line.split()[0].endswith("_total")}
+
+
+async def check_nothing_runs(d, host=0):
+    """Guards against what a canceled attempt leaves counted at its endpoint."""
+    view = (await metrics_page(d, b"/endpoints", host)).splitlines()
+    assert len(view) == len(d.endpoints)
+    assert all(" own=0 " in line for line in view), view
+
+
+async def test_hedges_a_slow_call(d):
+    """Guards against a hedge that comes late, answers twice, or leaves a load."""
+    await start_hedging(d)
+    for loser in ("slow", "hang"):
+        set_faults(d, loser)
+        start = time.monotonic()
+        rid, r = await d.request("idempotent")
+        assert (r.status, r.body) == (200, f"answer to {rid}".encode())
+        assert time.monotonic() - start < 0.4
+        left_ms = {m[4]: int(m[1]["deadline-ms"]) for e in d.endpoints
+                   for m in e.received if m[0] == rid}
+        assert left_ms[None] < left_ms[loser], left_ms
+        set_faults(d)
+        for _ in range(12):
+            rid, r = await d.request("idempotent")
+            assert r.body == f"answer to {rid}".encode()
+    c = await counters(d)
+    assert (c["hedges"], c["hedges_won"]) == (2, 2), c
+    assert c["hedge_loser_ms"] < 1000 and c["sends_again"] == 2
+    log = d.hosts[0].log()
+    assert log.count("end=second_won") == 2 and "loser_ran_ms=" in log
+    await check_nothing_runs(d)
+
+
+async def test_hedged_calls_get_no_crossed_answer(d):
+    """Guards against an answer to another request, or one that was canceled."""
+    await start_hedging(d)
+    for faults in (("slow", "wrong_id"), ("slow", "extra_response"),
+                   ("hang", "wrong_id")):
+        set_faults(d, *faults)
+        for _ in range(12):
+            rid, r = await d.request("idempotent")
+            assert (r.status, r.body) == (200, f"answer to {rid}".encode())
+    assert (await counters(d))["hedges_won"] == 3
+
+
+async def test_a_failed_attempt_leaves_the_other_one(d):
+    """Guards against an end, or a third attempt, when one of two has failed."""
+    await start_hedging(d)
+    for e in d.endpoints:
+        e.slow_s = 0.6
+    for failure in ("reset", "truncate", "unsigned"):
+        set_faults(d, "slow", failure)
+        rid, r = await d.request("idempotent")
+        assert r.status == 200, (failure, r.status)
+        assert executions(d, rid) == 2, failure
+        assert sum(m[0] == rid for e in d.endpoints for m in e.received) == 2
+        await asyncio.sleep(0.6)
+        set_faults(d)
+        for _ in range(12):
+            await d.request("idempotent")
+    log = d.hosts[0].log()
+    assert log.count("end=second_failed") == 3, log.count("end=second_failed")
+
+
+async def test_a_hedge_goes_on_when_the_first_attempt_fails(d):
+    """Guards against a hedge that ends with the first attempt."""
+    await start_hedging(d)
+    for e in d.endpoints:
+        e.work_s, e.slow_s = 0.3, 0.3
+    rid, raw = d.request_bytes("idempotent")
+    reader, writer = await asyncio.open_connection(d.hosts[0].ip, CALLERS_PORT)
+    writer.write(raw)
+    await wait_until(lambda: executions(d, rid) == 2)
+    first = [e for e in d.endpoints if e.received[-1][0] == rid]
+    first.sort(key=lambda e: int(e.received[-1][1]["deadline-ms"]))
+    for w in list(first[1].writers):
+        w.transport.abort()
+    r = await asyncio.wait_for(read_response(reader), 2)
+    assert (r.status, r.body) == (200, f"answer to {rid}".encode())
+    assert "end=first_failed" in d.hosts[0].log()
+    assert (f"request={rid} endpoint={first[1].name} fingerprint"
+            in d.hosts[0].log()), "the crash is charged to the first one"
+    writer.close()
+
+
+async def wait_until(condition, timeout_s=3):
+    for _ in range(int(timeout_s / 0.01)):
+        if condition():
+            return
+        await asyncio.sleep(0.01)
+    raise AssertionError("condition not met")
+
+
+async def test_both_attempts_end_with_the_request(d):
+    """Guards against exchanges that go on for a caller that left, at the deadline and
+    when two losers never end."""
+    await start_hedging(d)
+    for end in ("caller", "deadline"):
+        set_faults(d, "hang", "hang")
+        rid, raw = d.request_bytes("idempotent", deadline_ms=600)
+        reader, writer = await asyncio.open_connection(d.hosts[0].ip,
+                                                       CALLERS_PORT)
+        writer.write(raw)
+        await wait_until(lambda: sum(
+            m[0] == rid for e in d.endpoints for m in e.received) == 2)
+        if end == "deadline":
+            r = await asyncio.wait_for(read_response(reader), 2)
+            assert r.status == 504, r.status
+        writer.close()
+        await wait_until(
+            lambda: d.hosts[0].log().count(f"hedge request={rid}") == 1)
+        await asyncio.sleep(0.6)
+        set_faults(d)
+        for _ in range(12):
+            await d.request("idempotent")
+    await check_nothing_runs(d)
+    assert d.hosts[0].log().count("end=request_ended") == 2
+
+
+async def test_a_stopping_host_ends_a_hedged_call(d):
+    """Guards against a hedge that keeps a stopping host, or is lost with it."""
+    await start_hedging(d)
+    set_faults(d, "hang", "slow")
+    for e in d.endpoints:
+        e.slow_s = 1
+    task = asyncio.ensure_future(d.request("idempotent"))
+    await wait_until(lambda: sum(
+        m[4] is not None for e in d.endpoints for m in e.received) == 2)
+    d.hosts[0].signal(signal.SIGTERM)
+    rid, r = await task
+    assert (r.status, r.body) == (200, f"answer to {rid}".encode())
+    assert await asyncio.wait_for(d.hosts[0].process.wait(), 8) == 0
+
+
+async def test_hedges_only_what_may_be_repeated(d):
+    """Guards against hedges of non-idempotent calls, of routes with one attempt, of
+    calls near their deadline, and with a limit or a full service."""
+    d.routes.append(d.route("once", "idempotent", "plain", attempts=1))
+    await start_hedging(d)
+    for route, more in (("non_idempotent", {}), ("once", {}),
+                        ("idempotent", {"deadline_ms": 10})):
+        for _ in range(0 if more else 25):
+            await d.request(route)
+        set_faults(d, "slow")
+        for e in d.endpoints:
+            e.slow_s = 0.5
+        rid, r = await d.request(route, **more)
+        assert sum(m[0] == rid for e in d.endpoints for m in e.received) < 2
+        set_faults(d)
+    c = await counters(d)
+    assert (c["hedges"], c["hedges_denied_deadline"]) == (0, 1), c
+    for e in d.endpoints:
+        e.limit = 1000
+    await d.request("idempotent")
+    await d.request("idempotent")
+    set_faults(d, "slow")
+    rid, r = await d.request("idempotent")
+    assert r.status == 200 and executions(d, rid) == 1
+    c = await counters(d)
+    assert (c["hedges"], c["hedges_denied_limited"]) == (0, 1), c
+
+
+async def test_without_a_share_nothing_is_hedged(d):
+    await start_hedging(d, share=0)
+    set_faults(d, "slow")
+    for e in d.endpoints:
+        e.slow_s = 0.5
+    rid, r = await d.request("idempotent")
+    assert r.status == 200 and executions(d, rid) == 1
+    assert not any(n for k, n in (await counters(d)).items()
+                   if k.startswith("hedge"))
+
+
 async def run_test(binary, name, test):
     with tempfile.TemporaryDirectory() as tmp:
         d = Deployment(binary, tmp, getattr(test, "hosts", 2),
--- a/test/pools/standins.py
+++ b/test/pools/standins.py
@@ -276,7 +276,7 @@
     "handle_missing"  the prefill result cannot be imported
     "handle_spoiled"  wrong_byte stands in the handle of the prefill result
     Plain services only:
-    "slow"            responds after 5 s
+    "slow"            responds after slow_s
     "truncate"        body incomplete, then the connection closes
     "unsigned"        response without Instance-Signature
     "wrong_id"        a response with another Attempt-Id comes first
@@ -317,6 +317,7 @@
         self.sequence = 0  # of its last entry
         self.faults = []
         self.silence_s = 1.6
+        self.slow_s = 5
         self.anonymous_refusals = False  # without an Attempt-Id
         self.holds_to_refuse = 0
         self.holds_to_spoil = 0  # wrong_byte stands in their ids
@@ -557,7 +558,8 @@
         self.executed.append(rid)
         self.running[rid] = 0
         try:
-            await asyncio.sleep(self.work_s if fault != "slow" else 5)
+            await asyncio.sleep(self.work_s if fault != "slow"
+                                else self.slow_s)
         finally:
             self.running.pop(rid, None)
         body = f"answer to {rid}".encode() * (1 if fault != "large" else 35000)
