hedge: no hedges while many calls at once are due

When all endpoints of a service turn slow, calls exceed the quantile until it has risen, and hedges rose within the share. Hedges now stop while more than one in eight of the last 40 calls are due.

Endpoints of a suspect domain come last.

--- a/cmd/figbend/gateway/hedge.c
+++ b/cmd/figbend/gateway/hedge.c
@@ -300,21 +300,54 @@
 	}
 }
 
-/* Returns another endpoint for the request, or NULL. One that was ejected, or has
- * refused the last request, is not worth a hedge. */
+/*
+ * Returns true if an endpoint of the service in that domain failed lately: the domain
+ * may be partitioned or down, which is known for certain only some seconds later.
+ */
+static bool domain_is_suspect(const struct req *r, const char *domain)
+{
+	const struct fleet_endpoint *e;
+
+	TAILQ_FOREACH(e, &r->g->fleet.list, link)
+	{
+		if (strcmp(e->entry.service, r->service->name) == 0 &&
+		    strcmp(e->entry.domain, domain) == 0 &&
+		    (e->consecutive_failures || e->ejected_until_us))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Returns another endpoint for the request, or NULL. If the domain of the first one
+ * is suspect, those of other domains come first, as far as the query can exclude the
+ * others. An endpoint that was ejected, or has refused the last request, is not worth
+ * a hedge.
+ */
 static struct fleet_endpoint *choose(struct req *r)
 {
+	const char *domain = r->endpoint->entry.domain;
+	bool leave = domain_is_suspect(r, domain);
+	struct fleet_endpoint *e, *best = NULL;
 	struct fleet_query query;
 	enum fleet_result result;
-	struct fleet_endpoint *e;
 
 	plain_fill_query(r, &query);
 	/* Connect failures may have filled the list. */
 	if (query.n_excluded == REQ_EXCLUDED_MAX)
 		query.n_excluded--;
 	query.excluded[query.n_excluded++] = r->endpoint;
-	e = fleet_choose(&r->g->fleet, &query, gateway_now_us(r->g), &result);
-	return e && !e->refusals && !e->ejected_until_us ? e : NULL;
+	for (;;) {
+		e = fleet_choose(&r->g->fleet, &query, gateway_now_us(r->g),
+				 &result);
+		if (e && !e->refusals && !e->ejected_until_us &&
+		    (!best || strcmp(e->entry.domain, domain) != 0))
+			best = e;
+		if (!leave || !e || strcmp(e->entry.domain, domain) != 0 ||
+		    query.n_excluded == REQ_EXCLUDED_MAX)
+			return best;
+		query.excluded[query.n_excluded++] = e;
+	}
 }
 
 static void count_denied(struct gateway *g, enum hedge_decision d)
@@ -327,6 +360,7 @@
 		[HEDGE_DENIED_LIMITED] = STATS_HEDGES_DENIED_LIMITED,
 		[HEDGE_DENIED_NO_ENDPOINT] = STATS_HEDGES_DENIED_NO_ENDPOINT,
 		[HEDGE_DENIED_BUDGET] = STATS_HEDGES_DENIED_BUDGET,
+		[HEDGE_DENIED_ALL_SLOW] = STATS_HEDGES_DENIED_ALL_SLOW,
 		[HEDGE_DENIED_SHARE] = STATS_HEDGES_DENIED_SHARE,
 	};
 
--- a/pkg/fleet/test/fleet_test.cc
+++ b/pkg/fleet/test/fleet_test.cc
@@ -649,6 +649,24 @@
 	simulate_cold_endpoint(FLEET_PREFILL);
 }
 
+/* Guards against an endpoint that is frozen and gets requests for ever, as each of
+ * them is answered by another endpoint before it times out. */
+TEST_F(Fleet, EjectsAnEndpointThatIsSilentAgainAndAgain)
+{
+	struct fleet_endpoint *a = upsert("a", "d1");
+
+	fleet_record_outcome(a, FLEET_SILENT, 0, now_us);
+	fleet_record_outcome(a, FLEET_SILENT, 0, now_us);
+	EXPECT_EQ(choose(), a);
+	EXPECT_EQ(a->failure_rate, 0) << "slow now and then is no failure";
+	fleet_record_outcome(a, FLEET_SUCCESS, 10 * MS, now_us);
+	fleet_record_outcome(a, FLEET_SILENT, 0, now_us);
+	EXPECT_EQ(choose(), a);
+	fleet_record_outcome(a, FLEET_SILENT, 0, now_us);
+	fleet_record_outcome(a, FLEET_SILENT, 0, now_us);
+	EXPECT_EQ(choose(), nullptr);
+}
+
 TEST_F(Fleet, APrefillIsTheProbeOfAnEjectedEndpoint)
 {
 	struct fleet_endpoint *e = upsert("a", "d1", FLEET_PREFILL);
--- a/pkg/hedge/hedge.c
+++ b/pkg/hedge/hedge.c
@@ -17,22 +17,27 @@
 /* A route whose answers weigh less begins anew. */
 #define WEIGHT_MIN 4.
 /*
- * One call in twenty is due for a hedge, by the quantile. A denial takes what eight
- * calls add: if more than one in eight are due, since all endpoints are slow, the
- * level falls until the quantile has risen. Without it, a service that turned five
- * times slower for 20 s got up to a third more hedges than usual.
+ * One call in twenty is due for a hedge, by the quantile. If more than one in eight
+ * of about the last 40 calls are, all endpoints have become slow: no hedges until the
+ * quantile has risen. It follows within 20 of the 400 answers that it is measured by.
  */
-#define DENIAL_CALLS 8.
-/* The level is above 0 again after this many calls that are not due. The quantile
- * follows within 20 of the 400 answers that it is measured by. */
-#define DEBT_MAX_CALLS 40.
+#define DUE_CALLS 40.
+#define DUE_MAX 0.125
 #define FIRST_BOUND_US 500.
 #define BUCKETS_PER_DOUBLING 8.
 
-static const char *const cause_names[] = {[HEDGE_SEND] = "",
-#define HEDGE_ROW(id, name) [HEDGE_DENIED_##id] = name,
-					  HEDGE_CAUSES(HEDGE_ROW)
-#undef HEDGE_ROW
+static const char *const cause_names[] = {
+	[HEDGE_SEND] = "",
+	[HEDGE_DENIED_OFF] = "off",
+	[HEDGE_DENIED_FEW_ANSWERS] = "few_answers",
+	[HEDGE_DENIED_ATTEMPTS] = "attempts",
+	[HEDGE_DENIED_DEADLINE] = "deadline",
+	[HEDGE_DENIED_FULL] = "full",
+	[HEDGE_DENIED_LIMITED] = "limited",
+	[HEDGE_DENIED_NO_ENDPOINT] = "no_endpoint",
+	[HEDGE_DENIED_BUDGET] = "budget",
+	[HEDGE_DENIED_ALL_SLOW] = "all_slow",
+	[HEDGE_DENIED_SHARE] = "share",
 };
 
 const char *hedge_cause_name(enum hedge_decision d)
@@ -80,6 +85,7 @@
 		snprintf(s->name, sizeof(s->name), "%s", service);
 		s->level = next_random(h);
 	}
+	s->due *= 1 - 1 / DUE_CALLS;
 	s->level += h->share;
 	if (s->level > 1)
 		s->level = 1;
@@ -208,6 +214,8 @@
 		return HEDGE_DENIED_NO_ENDPOINT;
 	if (!facts->retry_available)
 		return HEDGE_DENIED_BUDGET;
+	if (s->due > DUE_MAX)
+		return HEDGE_DENIED_ALL_SLOW;
 	return s->level < 1 ? HEDGE_DENIED_SHARE : HEDGE_SEND;
 }
 
@@ -226,9 +234,9 @@
 		return HEDGE_DENIED_FEW_ANSWERS;
 	if (!s)
 		return HEDGE_DENIED_SHARE;
+	s->due += 1 / DUE_CALLS;
 	decision = judge(s, facts, delay_us);
-	s->level -= decision == HEDGE_SEND ? 1 : DENIAL_CALLS * h->share;
-	if (s->level < -DEBT_MAX_CALLS * h->share)
-		s->level = -DEBT_MAX_CALLS * h->share;
+	if (decision == HEDGE_SEND)
+		s->level -= 1;
 	return decision;
 }
--- a/pkg/hedge/hedge.h
+++ b/pkg/hedge/hedge.h
@@ -34,8 +34,8 @@
 
 struct hedge_service {
 	char name[HEDGE_NAME_BYTES];
-	/* Hedges that may be sent: 1 at most, below 0 after many denials. */
-	double level;
+	double level; /* hedges that may be sent, 1 at most */
+	double due;   /* part of the last calls that were due for one */
 };
 
 struct hedge {
@@ -47,24 +47,19 @@
 	uint32_t n_routes;
 };
 
-/* Causes of a denial, as X(ID, name). */
-#define HEDGE_CAUSES(X)                                                        \
-	X(OFF, "off")                                                          \
-	X(FEW_ANSWERS, "few_answers")                                          \
-	X(ATTEMPTS, "attempts")                                                \
-	X(DEADLINE, "deadline")                                                \
-	X(FULL, "full")                                                        \
-	X(LIMITED, "limited")                                                  \
-	X(NO_ENDPOINT, "no_endpoint")                                          \
-	X(BUDGET, "budget")                                                    \
-	X(SHARE, "share")
-
 /* HEDGE_SEND, or why no hedge is sent. */
 enum hedge_decision {
 	HEDGE_SEND,
-#define HEDGE_ENUM(id, name) HEDGE_DENIED_##id,
-	HEDGE_CAUSES(HEDGE_ENUM)
-#undef HEDGE_ENUM
+	HEDGE_DENIED_OFF,
+	HEDGE_DENIED_FEW_ANSWERS,
+	HEDGE_DENIED_ATTEMPTS, /* all that the route allows are used */
+	HEDGE_DENIED_DEADLINE,
+	HEDGE_DENIED_FULL,	  /* the service has no capacity left */
+	HEDGE_DENIED_LIMITED,	  /* an endpoint wants fewer requests */
+	HEDGE_DENIED_NO_ENDPOINT, /* no other one */
+	HEDGE_DENIED_BUDGET,	  /* no retry left */
+	HEDGE_DENIED_ALL_SLOW,	  /* many calls at once are due */
+	HEDGE_DENIED_SHARE,
 };
 
 /* What a decision depends on beside the quantile and the share. */
@@ -95,7 +90,7 @@
 		       int64_t now_us);
 /*
  * Decides on a hedge for a request that has run for the time of hedge_delay_us().
- * HEDGE_SEND takes a hedge from the service's share, and a denial a part of one.
+ * HEDGE_SEND takes a hedge from the service's share.
  */
 enum hedge_decision hedge_decide(struct hedge *h, const char *service,
 				 const char *route,
--- a/pkg/stats/stats.h
+++ b/pkg/stats/stats.h
@@ -79,6 +79,8 @@
 	  "calls without a hedge: no other endpoint is sound")                 \
 	X(HEDGES_DENIED_BUDGET, "hedges_denied_budget",                        \
 	  "calls without a hedge: the retry budget is used")                   \
+	X(HEDGES_DENIED_ALL_SLOW, "hedges_denied_all_slow",                    \
+	  "calls without a hedge: many at once were slow")                     \
 	X(HEDGES_DENIED_SHARE, "hedges_denied_share",                          \
 	  "calls without a hedge: the share is used")                          \
 	X(STORE_CALLS, "store_calls", "calls to the store")                    \
