--- a/pkg/wire/fig_msg.x
+++ b/pkg/wire/fig_msg.x
@@ -28,7 +28,8 @@
 	FIG_DIGEST = 20,
 	FIG_SUSPECTS = 21,
 	FIG_NOTICES = 22,
-	FIG_START_KNOWN = 23
+	FIG_START_KNOWN = 23,
+	FIG_ROLLOUT = 24
 };
 
 /* Once an interval to hosts of the domain, over UDP; no reply. */
@@ -367,6 +368,18 @@
 	unsigned hyper boot; /* of that start */
 };
 
+/*
+ * The progress of an order of a rollout, as the sender knows it. Over UDP, to all
+ * hosts when it changes, and now and then to a few; no reply.
+ */
+struct fig_rollout {
+	fig_name service;
+	unsigned hyper position;  /* of the order in the store (pkg/record) */
+	unsigned hyper text_hash; /* namehash() of the order's text */
+	unsigned int stage;       /* enum rollout_stage */
+	unsigned hyper elapsed_ms; /* since the order */
+};
+
 union fig_call switch (fig_kind kind) {
 case FIG_HEARTBEAT:
 	fig_heartbeat heartbeat;
@@ -402,6 +415,8 @@
 	fig_notices notices;
 case FIG_START_KNOWN:
 	fig_start_known start_known;
+case FIG_ROLLOUT:
+	fig_rollout rollout;
 };
 
 union fig_reply switch (fig_kind kind) {
@@ -439,6 +454,8 @@
 	void;
 case FIG_START_KNOWN:
 	void;
+case FIG_ROLLOUT:
+	void;
 };
 
 /* What stands behind the RPC header: who sent it, and proof that it belongs. */
--- a/pkg/wire/gen/fig_msg.h
+++ b/pkg/wire/gen/fig_msg.h
@@ -37,6 +37,7 @@
 	FIG_SUSPECTS = 21,
 	FIG_NOTICES = 22,
 	FIG_START_KNOWN = 23,
+	FIG_ROLLOUT = 24,
 };
 typedef enum fig_kind fig_kind;
 
@@ -427,6 +428,15 @@
 };
 typedef struct fig_start_known fig_start_known;
 
+struct fig_rollout {
+	fig_name service;
+	u_quad_t position;
+	u_quad_t text_hash;
+	u_int stage;
+	u_quad_t elapsed_ms;
+};
+typedef struct fig_rollout fig_rollout;
+
 struct fig_call {
 	fig_kind kind;
 	union {
@@ -447,6 +457,7 @@
 		fig_suspects suspects;
 		fig_notices notices;
 		fig_start_known start_known;
+		fig_rollout rollout;
 	} fig_call_u;
 };
 typedef struct fig_call fig_call;
@@ -541,6 +552,7 @@
 extern  bool_t xdr_fig_record (XDR *, fig_record*);
 extern  bool_t xdr_fig_records_got (XDR *, fig_records_got*);
 extern  bool_t xdr_fig_start_known (XDR *, fig_start_known*);
+extern  bool_t xdr_fig_rollout (XDR *, fig_rollout*);
 extern  bool_t xdr_fig_call (XDR *, fig_call*);
 extern  bool_t xdr_fig_reply (XDR *, fig_reply*);
 extern  bool_t xdr_fig_sealed (XDR *, fig_sealed*);
@@ -588,6 +600,7 @@
 extern bool_t xdr_fig_record ();
 extern bool_t xdr_fig_records_got ();
 extern bool_t xdr_fig_start_known ();
+extern bool_t xdr_fig_rollout ();
 extern bool_t xdr_fig_call ();
 extern bool_t xdr_fig_reply ();
 extern bool_t xdr_fig_sealed ();
--- a/pkg/wire/gen/fig_msg_xdr.c
+++ b/pkg/wire/gen/fig_msg_xdr.c
@@ -921,6 +921,24 @@
 	return TRUE;
 }
 
+bool_t
+xdr_fig_rollout (XDR *xdrs, fig_rollout *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_fig_name (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->position))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->text_hash))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->stage))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->elapsed_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_fig_call (XDR *xdrs, fig_call *objp)
 {
@@ -997,6 +1015,10 @@
 		 if (!xdr_fig_start_known (xdrs, &objp->fig_call_u.start_known))
 			 return FALSE;
 		break;
+	case FIG_ROLLOUT:
+		 if (!xdr_fig_rollout (xdrs, &objp->fig_call_u.rollout))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
@@ -1061,6 +1083,8 @@
 		break;
 	case FIG_START_KNOWN:
 		break;
+	case FIG_ROLLOUT:
+		break;
 	default:
 		return FALSE;
 	}
