relay: totals beside those of accounts, and a rank for a task

Hosts have to sum up further counters than accounts' consumption, and to agree on who does a task first. Counters go out as rows of totals by the hash of their names, as accounts do; changes reach the caller through a callback. Limits ignore keys that are not those of accounts. The rank is a rendezvous hash of the task and the hosts that are heard of.

--- a/pkg/relay/messages.c
+++ b/pkg/relay/messages.c
@@ -48,11 +48,15 @@
 	return true;
 }
 
-static void count_digest(void *ctx, uint64_t account, int64_t change)
+/* Puts into effect what others counted. The key of another total than those of
+ * accounts is unknown to ratelimit_deduct(). */
+static void count_digest(void *ctx, uint64_t key, int64_t change)
 {
 	struct relay *r = ctx;
 
-	ratelimit_deduct(r->limits, account, change, r->now_us);
+	ratelimit_deduct(r->limits, key, change, r->now_us);
+	if (r->on_total)
+		r->on_total(r->on_total_ctx, key, change);
 }
 
 static void count_remote(void *ctx, uint64_t account, int64_t change)
@@ -62,7 +66,7 @@
 
 	if (c >= 0 && grow_spent(r))
 		r->all_spent[c] += change;
-	ratelimit_deduct(r->limits, account, change, r->now_us);
+	count_digest(r, account, change);
 }
 
 static void count_local(void *ctx, uint64_t account, int64_t change)
@@ -340,6 +344,8 @@
 			totals_column(&r->accounts,
 				      ratelimit_refused_key(a[i].key));
 	}
+	for (i = 0; i < r->self.n_own_totals; i++)
+		totals_column(&r->accounts, r->self.total[i].key);
 	sum = calloc(r->accounts.n + 1, sizeof(*sum));
 	*out = calloc(r->accounts.n + 1, sizeof(**out));
 	if (!sum || !*out) {
@@ -360,6 +366,11 @@
 		if (c >= 0)
 			sum[c] += a[i].refused;
 	}
+	for (i = 0; i < r->self.n_own_totals; i++) {
+		c = totals_column(&r->accounts, r->self.total[i].key);
+		if (c >= 0)
+			sum[c] += r->self.total[i].amount;
+	}
 	*n = 0;
 	for (i = 0; i < r->accounts.n && i < FIG_TOTALS_MAX; i++) {
 		(*out)[*n].account = r->accounts.key[i];
--- a/pkg/relay/relay.h
+++ b/pkg/relay/relay.h
@@ -123,6 +123,9 @@
 	uint64_t counter; /* of the last message sent */
 	uint64_t next_position[FIG_STREAMS];
 	enum fig_following reader_state;
+	/* Totals of this host beside those of accounts, since its start. */
+	const struct totals_row *total;
+	uint32_t n_own_totals;
 };
 
 /* A message that relay_tick() wants to be sent. */
@@ -186,6 +189,10 @@
 	int64_t *all_spent;
 	uint32_t spent_capacity;
 	struct ratelimit *limits; /* borrowed */
+	/* Set by the caller, or NULL: called with each change of what other hosts
+	 * report together, of accounts and of other totals. */
+	totals_fn on_total;
+	void *on_total_ctx;
 };
 
 /*
@@ -267,6 +274,12 @@
 /* Returns the place of this host among all hosts with a record or heard of, in the
  * order of their ids, and sets *n to their number. */
 uint32_t relay_rank(const struct relay *r, uint32_t *n);
+/*
+ * Returns the place of this host for a task, by a hash of the task's name and of the
+ * hosts' names (rendezvous hashing), among the living hosts. A member hears delegates
+ * only, and counts all hosts that are not known to be gone.
+ */
+uint32_t relay_rank_for(const struct relay *r, const char *task);
 /* Returns the number of requests that wait at other hosts. */
 uint32_t relay_waiting(const struct relay *r, int64_t now_us);
 /* Returns true if a host of the domain is alive. */
--- a/pkg/relay/view.c
+++ b/pkg/relay/view.c
@@ -1,5 +1,7 @@
 #include "relay.h"
 
+#include "namehash.h"
+
 /* A delegate hears all hosts of its domain within this time, and the delegates of
  * all domains that can be reached within the longer one. */
 #define COMPLETE_US 1000000LL
@@ -122,6 +124,29 @@
 	return rank;
 }
 
+/* The finalizer of MurmurHash3: ids that differ in few bits have unrelated ranks. */
+static uint64_t mix(uint64_t x)
+{
+	x = (x ^ x >> 33) * 0xff51afd7ed558ccdULL;
+	x = (x ^ x >> 33) * 0xc4ceb9fe1a85ec53ULL;
+	return x ^ x >> 33;
+}
+
+uint32_t relay_rank_for(const struct relay *r, const char *task)
+{
+	uint64_t key = namehash(task), own = mix(r->id ^ key);
+	uint32_t i, rank = 0;
+
+	for (i = 0; i < r->n_hosts; i++) {
+		const struct relay_host *h = r->host[i];
+
+		if (r->mode == RELAY_MEMBER ? !h->known : !h->alive)
+			continue;
+		rank += mix(h->id ^ key) < own;
+	}
+	return rank;
+}
+
 uint32_t relay_waiting(const struct relay *r, int64_t now_us)
 {
 	if (!relay_uses_digest(r, now_us))
