gateway: rollouts of services

Each host with the setting rollout_share follows the operators' orders: orders and states come from the store, progress also from other hosts by the message FIG_ROLLOUT, evidence goes out as totals beside those of accounts. A state is appended at the end of the topic that this host knows; a refused append waits for the records it lacks. Requests get a side that they keep over attempts, prefill and decode endpoints have the same version, and answers are observed. Without an order a request costs one check.

--- a/cmd/figbend/gateway/gateway.c
+++ b/cmd/figbend/gateway/gateway.c
@@ -72,11 +72,13 @@
 	h1_respond(c, gateway_is_ready(g) ? 200 : 503, NULL, NULL, 0);
 }
 
-static void respond_endpoints(struct gateway *g, struct h1_conn *c)
+/* Responds with a page that write fills. */
+static void respond_view(struct gateway *g, struct h1_conn *c,
+			 int (*write)(struct gateway *g, struct h1_buf *out))
 {
 	struct h1_buf text = {0};
 
-	if (view_write_endpoints(g, &text) < 0)
+	if (write(g, &text) < 0)
 		h1_respond(c, 500, NULL, NULL, 0);
 	else
 		h1_respond(c, 200, "Content-Type: text/plain\r\n",
@@ -91,7 +93,11 @@
 	int n;
 
 	if (strcmp(c->request.head.target, "/endpoints") == 0) {
-		respond_endpoints(g, c);
+		respond_view(g, c, view_write_endpoints);
+		return;
+	}
+	if (strcmp(c->request.head.target, "/rollouts") == 0) {
+		respond_view(g, c, rollouts_write_view);
 		return;
 	}
 	text = malloc(METRICS_MAX_BYTES);
@@ -254,6 +260,7 @@
 	r = heartbeat_init(g);
 	if (r < 0)
 		return r;
+	rollouts_init(g);
 	r = listen_at(g, &g->callers, s->callers_addr, &g->limits,
 		      &caller_handlers);
 	if (r == 0)
@@ -285,6 +292,7 @@
 	h1_server_finish(&g->metrics);
 	host_record_finish(g);
 	store_reader_finish(g);
+	rollouts_finish(g);
 	heartbeat_finish(g);
 	h1_client_finish(&g->endpoints);
 	h1_client_finish(&g->store);
--- a/cmd/figbend/gateway/gateway.h
+++ b/cmd/figbend/gateway/gateway.h
@@ -18,6 +18,7 @@
 #include "ratelimit.h"
 #include "record.h"
 #include "relay.h"
+#include "rollouts.h"
 #include "spread.h"
 #include "stats.h"
 
@@ -152,6 +153,8 @@
 	int64_t notices_sent_us; /* notices.c: last time to a few hosts */
 
 	struct spread spread; /* record_fetch.c */
+
+	struct rollouts rollouts; /* rollouts.c, rollouts_req.c */
 };
 
 /*
--- a/cmd/figbend/gateway/heartbeat.c
+++ b/cmd/figbend/gateway/heartbeat.c
@@ -132,6 +132,9 @@
 	struct fleet_endpoint *e;
 	int t;
 
+	rollouts_update_counters(g);
+	self.total = g->rollouts.total;
+	self.n_own_totals = g->rollouts.n_counters;
 	for (t = 0; t < FIG_STREAMS; t++)
 		self.next_position[t] = g->records[t].next_position;
 	TAILQ_FOREACH(e, &g->fleet.list, link)
@@ -147,6 +150,22 @@
 	relay_set_self(&g->relay, &self);
 }
 
+/* Adds the counters of rollouts, as far as there is space. */
+static void add_counters(struct gateway *g, struct fig_share *s)
+{
+	uint32_t i;
+
+	for (i = 0; i < g->rollouts.n_counters; i++) {
+		struct fig_spent *row;
+
+		if (s->spent.spent_len == FIG_SPENT_MAX)
+			return;
+		row = &s->spent.spent_val[s->spent.spent_len++];
+		row->account = g->rollouts.counter[i].name;
+		row->amount = g->rollouts.counter[i].amount;
+	}
+}
+
 /*
  * Fills a report of this host. The strings are borrowed; the caller frees the
  * arrays, also on an error. Returns 0 or -ENOMEM.
@@ -166,8 +185,9 @@
 	s->hosts_upto = g->records[ADAPTER_HOSTS].next_position;
 	s->uptime_ms = (uint64_t)(gateway_now_us(g) - g->relay.start_us) / 1000;
 	s->waiting = g->n_waiting;
-	s->spent.spent_val =
-		calloc(n_accounts + 1, sizeof(*s->spent.spent_val));
+	rollouts_update_counters(g);
+	s->spent.spent_val = calloc(n_accounts + g->rollouts.n_counters + 1,
+				    sizeof(*s->spent.spent_val));
 	s->refused.refused_val =
 		calloc(n_accounts + 1, sizeof(*s->refused.refused_val));
 	s->load.load_val =
@@ -189,6 +209,7 @@
 			row->amount = (uint64_t)a->refused;
 		}
 	}
+	add_counters(g, s);
 	TAILQ_FOREACH(e, &g->fleet.list, link)
 	{
 		struct fig_load *row;
@@ -317,6 +338,10 @@
 	case FIG_NOTICES:
 		notices_apply(g, &from->call.fig_call_u.notices, from->sender);
 		return;
+	case FIG_ROLLOUT:
+		rollouts_apply_message(g, &from->call.fig_call_u.rollout,
+				       from->sender);
+		return;
 	case FIG_START_KNOWN:
 		raise_start(g, from->call.fig_call_u.start_known.boot,
 			    from->sender);
@@ -468,6 +493,7 @@
 	}
 	crash_tick(g);
 	notices_send(g);
+	rollouts_tick(g);
 	age_us = relay_age_us(&g->relay, now_us);
 	if (age_us >= 0)
 		stats_observe(&g->stats, STATS_KNOWLEDGE_AGE_S, age_us);
--- a/cmd/figbend/gateway/plain.c
+++ b/cmd/figbend/gateway/plain.c
@@ -85,6 +85,7 @@
 		fleet_record_outcome(r->endpoint, FLEET_SUCCESS,
 				     now_us - r->sent_us, now_us);
 		crash_acquit(r);
+		rollouts_record_answer(r, r->endpoint);
 		req_complete(r);
 	}
 }
@@ -104,6 +105,7 @@
 		(long long)(now_us - r->sent_us) / 1000, r->endpoint->running,
 		(long long)(now_us - r->endpoint->load_us) / 1000);
 	fleet_record_outcome(r->endpoint, outcome, now_us - r->sent_us, now_us);
+	rollouts_record_failure(r, r->endpoint, outcome);
 	req_drop_response(r);
 	req_exclude_endpoint(r, r->endpoint);
 	req_detach_endpoint(r);
@@ -134,6 +136,7 @@
 	};
 	memcpy(query->excluded, r->excluded, sizeof(query->excluded));
 	heartbeat_update_loads(r->g);
+	rollouts_fill_query(r, query);
 }
 
 static int64_t attempt_timeout_us(const struct req *r)
--- a/cmd/figbend/gateway/pools.c
+++ b/cmd/figbend/gateway/pools.c
@@ -97,6 +97,7 @@
 	if (!r->prefill_handle[0])
 		req_waste_prompt(r, causes[outcome]);
 	fleet_record_outcome(r->endpoint, outcome, now_us - r->sent_us, now_us);
+	rollouts_record_failure(r, r->endpoint, outcome);
 }
 
 /* Records a failed attempt to decode, and retries the request or ends it. */
@@ -244,6 +245,7 @@
 	if (!r->answer_began) {
 		fleet_record_capacity(r->endpoint, r->sent_us);
 		crash_acquit(r);
+		rollouts_record_first_event(r);
 	}
 	r->answer_began = true;
 	count_growth(r);
@@ -339,6 +341,7 @@
 	}
 	fleet_record_outcome(r->endpoint, FLEET_SUCCESS, now_us - r->sent_us,
 			     now_us);
+	rollouts_record_answer(r, r->endpoint);
 	if (!r->response_started) {
 		r->response_started = true;
 		h1_stream_start(r->conn, r->status, h1_buf_data(&r->fields));
@@ -382,6 +385,7 @@
 		fleet_record_outcome(r->endpoint, FLEET_SUCCESS,
 				     now_us - r->sent_us, now_us);
 		crash_acquit(r);
+		rollouts_record_answer(r, r->endpoint);
 		req_complete(r);
 	}
 }
@@ -442,6 +446,7 @@
 						    query->kv_capacity_tokens);
 	memcpy(query->excluded, r->excluded, sizeof(query->excluded));
 	heartbeat_update_loads(r->g);
+	rollouts_fill_query(r, query);
 }
 
 void pools_advance(struct req *r)
--- a/cmd/figbend/gateway/pools_steps.c
+++ b/cmd/figbend/gateway/pools_steps.c
@@ -123,6 +123,7 @@
 	pools_log_step_failed(r, r->endpoint, "hold", reason);
 	stats_add(&r->g->stats, STATS_RESERVATIONS_DENIED, 1);
 	fleet_record_outcome(r->endpoint, outcome, now_us - r->sent_us, now_us);
+	rollouts_record_failure(r, r->endpoint, outcome);
 	req_detach_endpoint(r);
 	if (++r->reservations_denied % RESERVE_TRIES == 0)
 		req_enqueue(r);
@@ -198,6 +199,7 @@
 						       : STATS_WASTED_ENDPOINT);
 	fleet_record_outcome(r->prefill_endpoint, outcome, now_us - r->sent_us,
 			     now_us);
+	rollouts_record_step_failure(r, r->prefill_endpoint, outcome);
 	fleet_prefill_end(r->prefill_endpoint, r->call.prompt.prompt_tokens);
 	r->prefill_counted = false;
 	fleet_unref(r->prefill_endpoint);
@@ -270,6 +272,19 @@
 					 r->g->fleet.hosts, now_us);
 }
 
+void pools_drop_prefill(struct req *r)
+{
+	if (r->prefill_handle[0]) {
+		stats_add(&r->g->stats, STATS_PREFILLS_WASTED, 1);
+		req_waste_prompt(r, STATS_WASTED_ENDPOINT);
+		cleanup_release_handle(r->g, r->prefill_endpoint,
+				       r->prefill_handle);
+	}
+	r->prefill_handle[0] = '\0';
+	fleet_unref(r->prefill_endpoint);
+	r->prefill_endpoint = NULL;
+}
+
 void pools_start_prefill(struct req *r)
 {
 	struct gateway *g = r->g;
@@ -283,11 +298,14 @@
 	enum fleet_result result;
 	struct fleet_endpoint *e;
 
+	if (rollouts_is_mixed(r))
+		pools_drop_prefill(r);
 	if (r->prefill_handle[0] || r->skip_prefill || r->prefill_sent ||
 	    r->events.last_id >= 0) {
 		pools_start_decode(r);
 		return;
 	}
+	rollouts_fill_prefill_query(r, &query);
 	e = fleet_choose(&g->fleet, &query, now_us, &result);
 	if (!e || (fleet_is_doubtful(e) && !has_retry(r, now_us))) {
 		r->skip_prefill = true;
--- a/cmd/figbend/gateway/req.c
+++ b/cmd/figbend/gateway/req.c
@@ -368,6 +368,8 @@
 
 	if (ends_with_host(r))
 		reason = STOPPING_REASON;
+	else if (r->step == REQ_SENT && h1_exchange_sent(&r->exchange))
+		rollouts_record_step_failure(r, r->endpoint, FLEET_TIMED_OUT);
 	if (may_have_executed(r))
 		req_fail(r, 504, reason);
 	else if (ends_with_host(r))
@@ -511,6 +513,7 @@
 				  h1_buf_len(&request), h, r);
 	h1_buf_finish(&request);
 	stats_add(&r->g->stats, STATS_SENDS, 1);
+	rollouts_record_send(r, e);
 	logline(LOG_DEBUG, "send",
 		"request=%s endpoint=%s phase=%d deadline_ms=%u resume=%lld "
 		"error=%d",
@@ -543,6 +546,7 @@
 	answer = identify(r, out->request_id);
 	if (answer != REQ_ANSWER_OWN) {
 		stats_add(&r->g->stats, STATS_RESPONSES_MISMATCHED, 1);
+		rollouts_record_foreign(r, e);
 		logline(LOG_WARNING, "answer_foreign",
 			"request=%s endpoint=%s step=%s answers=%s status=%u",
 			r->call.id, e->entry.id, step_names[r->step],
--- a/cmd/figbend/gateway/req.h
+++ b/cmd/figbend/gateway/req.h
@@ -85,6 +85,8 @@
 	int64_t last_event_us;
 	int64_t max_gap_us; /* longest time between two events */
 	uint32_t resumes; /* times that the stream moved to another endpoint */
+
+	struct rollouts_req rollout; /* rollouts_req.c */
 };
 
 /* req.c */
@@ -254,6 +256,9 @@
 void pools_start_prefill(struct req *r);
 /* The step has timed out, and its exchange was canceled. */
 void pools_step_timeout(struct req *r);
+/* Releases the prefill result, if any, and forgets its endpoint: no decode endpoint
+ * takes it over. */
+void pools_drop_prefill(struct req *r);
 /* Releases the reservation at the decode endpoint, if there is one. */
 void pools_release_reservation(struct req *r);
 /* Logs why a step at an endpoint failed. */
--- a/cmd/figbend/gateway/store_apply.c
+++ b/cmd/figbend/gateway/store_apply.c
@@ -91,24 +91,28 @@
 			logline(LOG_ERR, "account_unlimited",
 				"account=%s why=\"out of memory\"",
 				d->account[i].name);
+	rollouts_apply_directory(g);
 }
 
 static void apply_operator_record(struct gateway *g, const char *key,
 				  const char *value, size_t n,
 				  uint64_t position, const char *source)
 {
-	const char *domain = "";
+	const char *name = "";
 
-	switch (adapter_operator_record_kind(key, &domain)) {
+	switch (adapter_operator_record_kind(key, &name)) {
 	case ADAPTER_DIRECTORY:
 		if (value)
 			apply_directory(g, value, n, position, source);
 		return;
 	case ADAPTER_WITHDRAW:
 		logline(LOG_NOTICE, value ? "domain_out" : "domain_back",
-			"domain=%s offset=%llu source=%s", domain,
+			"domain=%s offset=%llu source=%s", name,
 			(unsigned long long)record_offset(position), source);
-		fleet_set_withdrawn(&g->fleet, domain, value != NULL);
+		fleet_set_withdrawn(&g->fleet, name, value != NULL);
+		return;
+	case ADAPTER_ORDER:
+		rollouts_apply_order(g, name, value, n, position, source);
 		return;
 	case ADAPTER_OTHER:
 		return;
@@ -187,6 +191,7 @@
 		crash_confirm(g, before);
 	if (!fleet_upsert(&g->fleet, entry, position, gateway_now_us(g)))
 		return;
+	rollouts_apply_version(g, entry->service, entry->version);
 	if (!known || was_draining != entry->draining)
 		logline(LOG_NOTICE,
 			entry->draining ? "endpoint_leaves" : "endpoint",
@@ -197,12 +202,23 @@
 			(unsigned long long)record_offset(position), source);
 }
 
-/* The value of a host's record is the address for messages of other hosts. */
+/* The value of a host's record is the address for messages of other hosts. States of
+ * rollouts are for operators. */
 static void apply_host(struct gateway *g, const char *name, const char *value,
 		       size_t n)
 {
 	char addr[POOL_SETTINGS_ADDR_BYTES];
+	const char *service;
 
+	switch (adapter_status_record_kind(name, value, n, &service)) {
+	case ADAPTER_HOST:
+		break;
+	case ADAPTER_ROLLOUT_PROGRESS:
+		rollouts_apply_progress(g, service, value, n);
+		return;
+	case ADAPTER_ROLLOUT_STATE:
+		return;
+	}
 	if (!value) {
 		heartbeat_remove_peer(g, name);
 		return;
@@ -349,7 +365,7 @@
 		remove_endpoint(g, key, position, source);
 		break;
 	case ADAPTER_HOSTS:
-		heartbeat_remove_peer(g, key);
+		apply_host(g, key, NULL, 0);
 		break;
 	case ADAPTER_TOPICS:
 		break;
--- a/cmd/figbend/gateway/store_reader.c
+++ b/cmd/figbend/gateway/store_reader.c
@@ -142,6 +142,8 @@
 		logline(LOG_WARNING, "store_restored",
 			"stream=%d era=%u before=%lld", sr->topic, era,
 			(long long)before);
+	if (sr->restored && sr->topic == ADAPTER_HOSTS)
+		rollouts_store_restored(g);
 	sr->settle_us = now_us + SETTLE_US;
 	for (t = 0; t < ADAPTER_TOPICS; t++)
 		if (g->reader[t].present_era < era)
--- a/pkg/stats/stats.h
+++ b/pkg/stats/stats.h
@@ -61,6 +61,14 @@
 	  "answers 503 that asked this host to keep away for a time")          \
 	X(CRASH_SUSPECTS, "crash_suspects",                                    \
 	  "connections that broke before the answer had begun")                \
+	X(ROLLOUT_SENDS, "rollout_sends",                                      \
+	  "requests sent to the new version of a rollout")                     \
+	X(ROLLOUT_BAD, "rollout_bad_answers",                                  \
+	  "bad answers of the new version of a rollout")                       \
+	X(ROLLOUTS_COMPLETED, "rollouts_completed",                            \
+	  "rollouts that this host wrote as completed")                        \
+	X(ROLLOUTS_ROLLED_BACK, "rollouts_rolled_back",                        \
+	  "rollouts that this host wrote as rolled back")                      \
 	X(STORE_CALLS, "store_calls", "calls to the store")                    \
 	X(STORE_FAILURES, "store_failures", "calls to the store that failed")  \
 	X(CONNECTS, "connects", "connections opened to endpoints")             \
