test/pools: rollouts with real processes

The stand-in store appends several records at a time, and none if At is not the end; endpoints have versions and lasting faults.

--- a/test/pools/deployment.py
+++ b/test/pools/deployment.py
@@ -168,10 +168,12 @@
                        "IdleTimeoutMs": self.idle_ms},
             "Tenants": self.accounts})
 
-    async def add_endpoint(self, service, domain, stage=None, **more):
+    async def add_endpoint(self, service, domain, stage=None, version="v1",
+                           **more):
         n = len(self.endpoints)
         e = Endpoint(LOOPBACK_NET + ".2.1", 21600 + n, f"e{n}", service, domain,
                      stage, **more)
+        e.version = version
         self.endpoints.append(e)
         Endpoint.endpoints = self.endpoints
         Endpoint.store = self.store
--- a/test/pools/standins.py
+++ b/test/pools/standins.py
@@ -117,6 +117,7 @@
         self.delay_s = 0
         self.calls = 0
         self.pages = []  # of snapshots read: (topic, key before the page)
+        self.appends = []  # through this port: (time, status, keys)
 
     def copy(self):
         """Returns a copy of the streams, for restore()."""
@@ -174,11 +175,7 @@
             await asyncio.sleep(self.delay_s)
             writer.write(await self.at_read_rate(out))
         elif path == "/figbend/log-append":
-            n = struct.unpack(">I", body[:4])[0]
-            record = body[4:4 + n]
-            key = record[1:1 + record[0]].decode()
-            self.put(topic, key, record[1 + record[0]:] or None)
-            writer.write(self.response(200, b'{"Offset":0,"EndOffset":1}'))
+            writer.write(self.append(topic, query, body))
         else:
             writer.write(self.response(404))
         if self.mode == "close":
@@ -186,6 +183,23 @@
         await writer.drain()
         return True
 
+    def append(self, topic, query, body):
+        """Appends all records of the body, or none if At is not the end."""
+        end = len(self.streams.get(topic, []))
+        if int(query.get("At", end)) != end:
+            self.appends.append((time.monotonic(), 412, []))
+            return self.response(
+                412, json.dumps({"EndOffset": end}).encode())
+        keys = []
+        while body:
+            n = struct.unpack(">I", body[:4])[0]
+            record, body = body[4:4 + n], body[4 + n:]
+            keys.append(record[1:1 + record[0]].decode())
+            self.put(topic, keys[-1], record[1 + record[0]:] or None)
+        self.appends.append((time.monotonic(), 200, keys))
+        return self.response(200, json.dumps(
+            {"Offset": end, "EndOffset": end + len(keys)}).encode())
+
     async def at_read_rate(self, out):
         """Returns the response once its turn has come."""
         root, now = self.root, time.monotonic()
@@ -316,6 +330,8 @@
         self.started_ms = 1700000000000
         self.sequence = 0  # of its last entry
         self.faults = []
+        self.fault = None  # of each request once faults is empty
+        self.version = "v1"
         self.silence_s = 1.6
         self.anonymous_refusals = False  # without an Attempt-Id
         self.holds_to_refuse = 0
@@ -368,7 +384,7 @@
         state = state or ("draining" if self.draining else "ready")
         self.sequence += 1
         e = {"Service": self.service, "Address": self.addr,
-             "Zone": self.domain, "Version": "v1", "Slots": self.slots,
+             "Zone": self.domain, "Version": self.version, "Slots": self.slots,
              "State": state, "ColdRemainingMs": 0,
              "Sequence": self.sequence, "born": self.started_ms}
         if self.stage:
@@ -385,7 +401,7 @@
                 sum(n for n, _ in self.reservations.values()))
 
     def next_fault(self):
-        return self.faults.pop(0) if self.faults else None
+        return self.faults.pop(0) if self.faults else self.fault
 
     async def handle(self, reader, writer, method, target, headers, body):
         self.call_times.append(time.monotonic())
