rollout: orders, stages, the share and the evidence of one service

The header of the package had no code behind it yet.

New in the header: rollout_add_row(), rollout_on_store_restored(), ROLLOUT_GAP_SUFFIX and the private members. No signature changed.

--- a/pkg/rollout/rollout.h
+++ b/pkg/rollout/rollout.h
@@ -112,17 +112,95 @@
 	bool announce; /* tell all hosts the progress at once */
 	/* Write the progress to the store, conditionally; ROLLOUT_NONE: nothing. */
 	enum rollout_stage write;
-	bool logged;	 /* a decision was made; reason says why */
+	bool logged;	  /* a decision was made; reason says why */
 	char reason[192]; /* for the log: evidence with counts, as key=value */
 };
 
+/* Suffix of the row for gaps between events of a route's streams. */
+#define ROLLOUT_GAP_SUFFIX "/gap"
+#define ROLLOUT_ROW_BYTES (CALL_NAME_BYTES + 8)
+/* Name of the last row, which stands for all routes that found no free one. */
+#define ROLLOUT_OTHER_ROW "*"
+/* Of rollout_sums. */
+#define ROLLOUT_FIELDS 4
+/* Copies of the sums, one each 0.5 s, so that one is 3.0 to 3.5 s old. */
+#define ROLLOUT_SNAPSHOTS 8
+#define ROLLOUT_PAST_MAX 2
+
+/* A route, or the gaps in its streams. Sides: 0 is present, 1 is new. */
+struct rollout_row {
+	char name[ROLLOUT_ROW_BYTES];
+	bool is_gap;
+	/* Requests owed to the new version; one is sent when it reaches 1. */
+	double level;
+	uint64_t key[2][ROLLOUT_FIELDS]; /* of its counters, under the order */
+	struct rollout_sums own[2];	 /* of this host, never falls */
+	struct rollout_sums own_base[2]; /* own when the order was seen */
+	struct rollout_sums others[2];	 /* of other hosts, since the order */
+};
+
+/* Sums since the order at one time: of all hosts, and of this one. */
+struct rollout_snapshot {
+	int64_t at_us; /* 0 if unused */
+	struct rollout_sums all[ROLLOUT_ROWS_MAX][2];
+	struct rollout_sums own[ROLLOUT_ROWS_MAX][2];
+};
+
+/* Counters of an order that was replaced. They go on if it is given again:
+ * what a host reports never falls. */
+struct rollout_past {
+	uint64_t text_hash; /* 0 if unused */
+	uint32_t n_rows;
+	struct rollout_sums own[ROLLOUT_ROWS_MAX][2];
+};
+
+/* A progress that came before its order. */
+struct rollout_early {
+	bool present;
+	struct rollout_progress progress;
+	int64_t at_us;
+};
+
 /* The state of one rollout; private to the package but for the first part. */
 struct rollout {
 	char service[CALL_NAME_BYTES];
 	struct rollout_order order;
 	enum rollout_stage stage;
 	bool suspect; /* this host judges the new version to be bad */
-	/* The rest is defined with the package. */
+
+	struct rollout_limits limits;
+	uint64_t seed;
+	int64_t init_us;
+	uint64_t first_position; /* of the order when it was first seen */
+	/* Positions up to here belong to orders that ended. */
+	uint64_t ended_position;
+	int64_t ordered_us;	       /* elapsed time counts from here */
+	int64_t seen_us;	       /* this host learned of the order */
+	bool heard_elapsed;	       /* from another host */
+	struct rollout_early early[2]; /* by enum rollout_source */
+
+	bool final;		   /* the stage is a final one in the store */
+	enum rollout_stage stored; /* the stage in the store */
+	int64_t shift_us;	   /* this host entered the shift */
+	int64_t shift_stored_us;   /* it saw the shift in the store */
+	enum rollout_stage wanted; /* to be written */
+	int64_t wanted_us;	   /* since then, with the store in reach */
+	enum rollout_stage write;  /* last one passed to the caller */
+	int64_t write_us;
+	uint64_t write_text_hash;
+	bool announce;
+	struct rollout_view view;
+
+	bool own_bad;	    /* by this host's own evidence */
+	int64_t own_bad_us; /* since then */
+	int64_t slow_us;    /* all hosts' times are bad since then; 0: not */
+	int64_t others_us;  /* another host last had an answer of the new */
+	uint32_t n_rows;
+	struct rollout_row row[ROLLOUT_ROWS_MAX];
+	struct rollout_snapshot snapshot[ROLLOUT_SNAPSHOTS];
+	uint32_t n_snapshots; /* taken since the order */
+	struct rollout_past past[ROLLOUT_PAST_MAX];
+	uint32_t n_past;
 };
 
 /* Starts without an order. seed makes the random choices reproducible. */
@@ -137,8 +215,13 @@
  */
 bool rollout_on_order(struct rollout *r, const struct rollout_order *order,
 		      int64_t now_us);
-/* The order was deleted. */
+/* The order was deleted. A final state that was written stays in force. */
 void rollout_on_order_deleted(struct rollout *r, int64_t now_us);
+/*
+ * The store came back from an older copy, in a new era: the state in it is not known
+ * any more and is written again.
+ */
+void rollout_on_store_restored(struct rollout *r);
 /* Another host, or the store, knows this progress. Returns true if that changed the
  * stage. */
 bool rollout_on_progress(struct rollout *r, const struct rollout_progress *p,
@@ -149,6 +232,13 @@
 
 /* Returns true if an endpoint of this version belongs to the new side. */
 bool rollout_is_new(const struct rollout *r, const char *version);
+/*
+ * Adds a row of evidence: a route of the service, or with ROLLOUT_GAP_SUFFIX the gaps
+ * between events of its streams. To be called for all of them when the configuration
+ * is read, so that the counters of other hosts for them are known from the start. A
+ * row beyond ROLLOUT_ROWS_MAX - 1 shares the last one. Rows stay over orders.
+ */
+void rollout_add_row(struct rollout *r, const char *row);
 /*
  * Chooses the side of a new request of a route, and counts it. new_is_usable: an
  * endpoint of the new version could take the request now.
@@ -167,15 +257,16 @@
 		     int64_t now_us);
 
 /*
- * The counters of this host, to be exchanged: names are unique over services, orders
- * and rows. Returns their number, at most ROLLOUT_COUNTERS_MAX.
+ * The counters of this host above 0, to be exchanged: names are unique over services,
+ * orders and rows, and no amount ever falls. Returns their number, at most
+ * ROLLOUT_COUNTERS_MAX, none without an order.
  */
 uint32_t rollout_fill_counters(const struct rollout *r,
 			       struct rollout_counter *out);
 /*
  * The sum over all other hosts of the counter whose name has this key (namehash())
- * has changed. Returns false if the counter is not one of this rollout. Rows that only
- * other hosts have are known by their name's hash only.
+ * has changed by change, which may be negative. Returns false if the counter is not one
+ * of this rollout, or its row was not added yet.
  */
 bool rollout_apply_counter(struct rollout *r, uint64_t key, int64_t change,
 			   int64_t now_us);
