relay, gateway: tests of totals and ranks, an order read too early

An order that was read before the first configuration, for a service that this lacks, caused no log line; it does now, once.

--- a/cmd/figbend/gateway/rollouts.c
+++ b/cmd/figbend/gateway/rollouts.c
@@ -238,16 +238,18 @@
 	note_change(gr, source);
 }
 
-/* See rollouts.h. */
+/* See rollouts.h. An order for an unknown service is logged once. */
 void rollouts_apply_directory(struct gateway *g)
 {
 	const struct records *rs = &g->records[ADAPTER_OPERATORS];
 	struct gateway_rollout *gr;
+	bool first = !g->rollouts.configured;
 	const char *service;
 	uint32_t i;
 
 	if (!is_on(g))
 		return;
+	g->rollouts.configured = true;
 	TAILQ_FOREACH(gr, &g->rollouts.list, entry)
 	{
 		add_rows(gr);
@@ -255,7 +257,7 @@
 	for (i = 0; i < rs->n; i++) {
 		service = adapter_order_service(rs->row[i].key);
 		if (service && rs->row[i].value && !find(g, service) &&
-		    directory_find_service(g->directory, service))
+		    (first || directory_find_service(g->directory, service)))
 			rollouts_apply_order(g, service, rs->row[i].value,
 					     rs->row[i].value_bytes,
 					     rs->row[i].position, "known");
--- a/cmd/figbend/gateway/rollouts.h
+++ b/cmd/figbend/gateway/rollouts.h
@@ -59,6 +59,7 @@
 
 struct rollouts {
 	struct gateway_rollouts list;
+	bool configured; /* a configuration has been in force */
 	int64_t sent_us; /* last time to a few hosts */
 	struct rollouts_version version[ROLLOUTS_VERSIONS_MAX];
 	uint32_t n_versions;   /* ever seen */
--- a/pkg/relay/test/network.h
+++ b/pkg/relay/test/network.h
@@ -29,6 +29,9 @@
 		struct relay relay;
 		std::unique_ptr<struct ratelimit> limits{new struct ratelimit};
 		std::vector<struct relay_load> load;
+		/* A total beside those of accounts: its own, and the others'. */
+		struct totals_row total = {};
+		int64_t others_total = 0;
 		bool up = false;
 		int64_t next_tick_us = 0, frozen_until_us = 0;
 		int64_t handling_us = 0; /* a slow host handles messages late */
@@ -92,6 +95,13 @@
 		ratelimit_init(n.limits.get());
 		relay_init(&n.relay, n.name.c_str(), n.domain.c_str(),
 			   n.sealer.boot, n.limits.get(), now_us);
+		n.total = {namehash("total"), 0};
+		n.others_total = 0;
+		n.relay.on_total = [](void *ctx, uint64_t key, int64_t change) {
+			if (key == namehash("total"))
+				*static_cast<int64_t *>(ctx) += change;
+		};
+		n.relay.on_total_ctx = &n.others_total;
 		n.next_tick_us = now_us + (int64_t)(random() % 100000);
 		on_start(n);
 		/* Records: all hosts that run know each other. */
@@ -142,7 +152,12 @@
 		s->addr = (char *)n.addr.c_str();
 		s->uptime_ms = (uint64_t)(now_us - n.relay.start_us) / 1000;
 		s->spent.spent_val = (struct fig_spent *)calloc(
-			n.limits->n_accounts + 1, sizeof(struct fig_spent));
+			n.limits->n_accounts + 2, sizeof(struct fig_spent));
+		if (n.total.amount) {
+			s->spent.spent_val[0].account = (char *)"total";
+			s->spent.spent_val[0].amount = (uint64_t)n.total.amount;
+			s->spent.spent_len = 1;
+		}
 		for (uint32_t i = 0; i < n.limits->n_accounts; i++) {
 			struct ratelimit_account *a = &n.limits->account[i];
 
@@ -190,6 +205,8 @@
 		self.load = hashed.data();
 		self.n_loads = (uint32_t)hashed.size();
 		self.counter = n.sealer.counter;
+		self.total = &n.total;
+		self.n_own_totals = n.total.amount != 0;
 		relay_set_self(&n.relay, &self);
 	}
 	void tick(Node &n)
--- a/pkg/relay/test/relay_test.cc
+++ b/pkg/relay/test/relay_test.cc
@@ -367,3 +367,58 @@
 	EXPECT_EQ(relay_living(&alone.relay, a.net.now_us), 60u);
 	EXPECT_EQ(relay_living(&a.net.node[0]->relay, a.net.now_us), 60u);
 }
+
+/*
+ * Guards against a total that is lost or added twice on its way: each host knows the
+ * sum over all others soon after the last one counted, also through delegates.
+ */
+TEST(Totals, ReachAllHostsOnce)
+{
+	for (uint32_t hosts : {12u, 60u}) {
+		Network net(hosts, 3, hosts);
+		int64_t sum = 0;
+
+		net.start_all();
+		net.run(4 * S);
+		net.run(5 * S, [&] {
+			net.node[net.random() % hosts]->total.amount += 3;
+			sum += 3;
+		});
+		net.run(3 * S);
+		for (auto &n : net.node)
+			EXPECT_EQ(n->others_total + n->total.amount, sum)
+				<< n->name << " of " << hosts;
+	}
+}
+
+/*
+ * Guards against hosts that all write first, or none of them: among hosts that hear
+ * each other ranks differ, and another task has another first host at times.
+ */
+TEST(Rank, OfATaskIsOneToOneAmongLivingHosts)
+{
+	Network net(9, 3, 1);
+	std::set<std::string> first;
+
+	net.start_all();
+	net.run(4 * S);
+	net.stop(*net.node[0]);
+	net.run(3 * S);
+	for (int task = 0; task < 20; task++) {
+		std::string name = "service-" + std::to_string(task);
+		std::set<uint32_t> ranks;
+
+		for (auto &n : net.node) {
+			if (!n->up)
+				continue;
+			uint32_t rank = relay_rank_for(&n->relay, name.c_str());
+
+			ranks.insert(rank);
+			if (!rank)
+				first.insert(n->name);
+		}
+		EXPECT_EQ(ranks.size(), 8u);
+		EXPECT_EQ(*ranks.rbegin(), 7u);
+	}
+	EXPECT_GT(first.size(), 3u);
+}
--- a/test/pools/rollout_tests.py
+++ b/test/pools/rollout_tests.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import signal
 import time
 
 __all__ = ["test_completes_a_rollout_of_a_good_version",
@@ -11,7 +12,8 @@
            "test_ignores_an_order_that_it_cannot_follow",
            "test_another_host_writes_once_the_writer_is_killed",
            "test_writes_the_state_once_the_store_is_back",
-           "test_writes_the_state_again_after_a_restore"]
+           "test_writes_the_state_again_after_a_restore",
+           "test_a_host_that_wakes_follows_the_state_in_the_store"]
 
 DURATION_S = 7
 
@@ -60,8 +62,10 @@
 class Traffic:
     """Requests at a steady rate, by turns to the hosts that run."""
 
-    def __init__(self, d, route="idempotent", per_s=80, **more):
+    def __init__(self, d, route="idempotent", per_s=80, others=None, **more):
+        """others: a host that gets none."""
         self.d, self.route, self.per_s, self.more = d, route, per_s, more
+        self.left_out = others
         self.sent, self.status, self.tasks = 0, [], set()
         self.end = False
         self.task = asyncio.ensure_future(self.run())
@@ -77,7 +81,7 @@
         start = time.monotonic()
         while not self.end:
             hosts = [i for i, h in enumerate(self.d.hosts)
-                     if h.process.returncode is None]
+                     if h.process.returncode is None and i != self.left_out]
             task = asyncio.ensure_future(
                 self.one(hosts[self.sent % len(hosts)]))
             self.tasks.add(task)
@@ -287,3 +291,33 @@
     await traffic.stop()
     assert [s["State"] for s in states(d)] == ["rolled_back"], states(d)
     assert received(new) == n, "the rollout began again"
+
+
+async def test_a_host_that_wakes_follows_the_state_in_the_store(d):
+    """Guards against a second final state, by a host that slept through the
+    first one and whose copy of the topic is old."""
+    await start_rollout(d)
+    new = await add_version(d, "v2")
+    order(d, "v2")
+    traffic = Traffic(d)
+    await until(lambda: writers(d), 3)
+    sleeper = writers(d)[0]
+    d.hosts[sleeper].signal(signal.SIGSTOP)
+    await traffic.stop()
+    for e in new:
+        e.fault = "error"
+    traffic = Traffic(d, others=sleeper)
+    await until(lambda: final(d), DURATION_S)
+    await asyncio.sleep(max(0, DURATION_S - 3))
+    d.hosts[sleeper].signal(signal.SIGCONT)
+    await asyncio.sleep(1)
+    n = received(new)
+    for _ in range(60):
+        await d.request("idempotent", host=sleeper)
+    await asyncio.sleep(1)
+    await traffic.stop()
+    assert final(d) == ["rolled_back"], states(d)
+    assert received(new) == n, "the host that woke did not follow the state"
+
+
+test_a_host_that_wakes_follows_the_state_in_the_store.hosts = 3
