gateway: the only version of a service is not held back

A release that replaces all endpoints of a service without an order would have been 2 s without service, since the new version was held back. It is held back only while an endpoint of another version is usable.

--- a/cmd/figbend/gateway/rollouts_req.c
+++ b/cmd/figbend/gateway/rollouts_req.c
@@ -36,7 +36,25 @@
 	}
 }
 
-/* Leaves out a version that is held back, the one that was seen last. */
+/* Returns true if an endpoint of another version could serve the query. */
+static bool has_others(const struct req *r, const struct fleet_query *query,
+		       const char *version)
+{
+	const struct fleet_endpoint *e;
+
+	TAILQ_FOREACH(e, &r->g->fleet.list, link)
+	{
+		if (e->entry.stage == query->stage &&
+		    strcmp(e->entry.service, query->service) == 0 &&
+		    strcmp(e->entry.version, version) != 0 &&
+		    fleet_is_usable(&r->g->fleet, e))
+			return true;
+	}
+	return false;
+}
+
+/* Leaves out a version that is held back, the one that was seen last, unless there is
+ * no other. */
 static void leave_out_held(const struct req *r, struct fleet_query *query)
 {
 	const struct rollouts *rs = &r->g->rollouts;
@@ -47,7 +65,8 @@
 		const struct rollouts_version *v = &rs->version[i];
 
 		if (v->held_until_us <= until_us ||
-		    strcmp(v->service, r->service->name) != 0)
+		    strcmp(v->service, r->service->name) != 0 ||
+		    !has_others(r, query, v->version))
 			continue;
 		until_us = v->held_until_us;
 		query->version = v->version;
--- a/test/pools/rollout_tests.py
+++ b/test/pools/rollout_tests.py
@@ -9,6 +9,7 @@
            "test_completes_a_rollout_of_model_engines",
            "test_rolls_a_version_back_that_fails",
            "test_rolls_a_version_back_that_is_slow",
+           "test_does_not_hold_back_the_only_version",
            "test_ignores_an_order_that_it_cannot_follow",
            "test_another_host_writes_once_the_writer_is_killed",
            "test_writes_the_state_once_the_store_is_back",
@@ -197,6 +198,19 @@
     assert set(traffic.status) == {200}, traffic.status
 
 
+async def test_does_not_hold_back_the_only_version(d):
+    """Guards against 2 s without service when a release replaces all endpoints
+    of a service without an order."""
+    await start_rollout(d)
+    old = list(d.endpoints)
+    await add_version(d, "v2")
+    for e in old:
+        d.store.put("keyed.servers", e.name, None)
+    await asyncio.sleep(0.3)
+    for host in (0, 1):
+        assert (await d.request("idempotent", host=host))[1].status == 200
+
+
 async def test_ignores_an_order_that_it_cannot_follow(d):
     """Guards against a bad order that stops requests or that a state answers."""
     await start_rollout(d)
