--- a/pkg/rollout/evidence.c
+++ b/pkg/rollout/evidence.c
@@ -9,8 +9,16 @@
 
 #define SNAPSHOT_US 500000LL
 #define RECENT_US 3000000LL
-/* Standard errors by which the sides must differ. */
+/*
+ * Standard errors by which the sides must differ. Three are too few by themselves: the
+ * evidence is judged every 100 ms for some rows and two spans, and in trials with
+ * few answers 2 of 10 good versions were rolled back. So times must differ by four,
+ * and failures must also be as unlikely as 3.5 by the likelihood ratio, which unlike the
+ * pooled standard error is not misled by 4 failures of 9.
+ */
 #define ERRORS_MIN 3.
+#define SLOW_ERRORS_MIN 4.
+#define LIKELIHOOD_ERRORS_MIN 3.5
 #define BAD_MIN 4
 #define BAD_SHARE_MIN 0.04
 /* Answers of each side below which times are not compared, and below which the
@@ -47,25 +55,25 @@
 	to->log_square_sum += sign * s->log_square_sum;
 }
 
-static void counter_name(const struct rollout *r, const char *row, int side,
-			 int i, char out[ROLLOUT_COUNTER_NAME_BYTES])
+static void counter_name(const struct rollout_row *row, int side, int i,
+			 char out[ROLLOUT_COUNTER_NAME_BYTES])
 {
-	char text[2 * CALL_NAME_BYTES + 64];
-
-	snprintf(text, sizeof(text), "%s\n%016" PRIx64 "\n%s", r->service,
-		 r->order.text_hash, row);
 	snprintf(out, ROLLOUT_COUNTER_NAME_BYTES, "rollout:%016" PRIx64 ":%d%d",
-		 namehash(text), side, i);
+		 row->counter_hash, side, i);
 }
 
 static void name_counters(const struct rollout *r, struct rollout_row *row)
 {
+	char text[CALL_NAME_BYTES + ROLLOUT_ROW_BYTES + 24];
 	char name[ROLLOUT_COUNTER_NAME_BYTES];
 	int side, i;
 
+	snprintf(text, sizeof(text), "%s\n%016" PRIx64 "\n%s", r->service,
+		 r->order.text_hash, row->name);
+	row->counter_hash = namehash(text);
 	for (side = 0; side < 2; side++)
 		for (i = 0; i < ROLLOUT_FIELDS; i++) {
-			counter_name(r, row->name, side, i, name);
+			counter_name(row, side, i, name);
 			row->key[side][i] = namehash(name);
 		}
 }
@@ -185,8 +193,7 @@
 			for (f = 0; f < ROLLOUT_FIELDS; f++) {
 				if (*field(&s, f) <= 0)
 					continue;
-				counter_name(r, r->row[i].name, side, f,
-					     out[n].name);
+				counter_name(&r->row[i], side, f, out[n].name);
 				out[n++].amount = (uint64_t)*field(&s, f);
 			}
 		}
@@ -313,6 +320,26 @@
 	}
 }
 
+static double likelihood(double part, double n, double all_part, double all_n)
+{
+	return part > 0 ? part * log(part / n * all_n / all_part) : 0;
+}
+
+/* Returns how unlikely it is that both shares of bad answers are the same, in standard
+ * errors: the root of the likelihood ratio's logarithm, doubled (Wilks). */
+static double unlikelihood(const struct rollout_sums *present,
+			   const struct rollout_sums *new)
+{
+	double n = (double)new->answers, m = (double)present->answers;
+	double x = (double)new->bad, y = (double)present->bad;
+	double g = likelihood(x, n, x + y, n + m) +
+		   likelihood(y, m, x + y, n + m) +
+		   likelihood(n - x, n, n + m - x - y, n + m) +
+		   likelihood(m - y, m, n + m - x - y, n + m);
+
+	return g > 0 ? sqrt(2 * g) : 0;
+}
+
 /* Two proportions with a pooled variance. */
 static bool fails_more(const struct rollout_sums *present,
 		       const struct rollout_sums *new)
@@ -327,7 +354,8 @@
 	pooled = (double)(new->bad + present->bad) / (n + m);
 	return difference > BAD_SHARE_MIN &&
 	       difference > ERRORS_MIN * sqrt(pooled * (1 - pooled) *
-					      (1 / n + 1 / m));
+					      (1 / n + 1 / m)) &&
+	       unlikelihood(present, new) > LIKELIHOOD_ERRORS_MIN;
 }
 
 static double mean(const struct rollout_sums *s)
@@ -335,13 +363,24 @@
 	return (double)s->log_sum / (double)(s->answers - s->bad);
 }
 
-/* Returns the variance of the mean. */
-static double mean_variance(const struct rollout_sums *s)
+static double variance_of(const struct rollout_sums *s)
 {
 	double n = (double)(s->answers - s->bad), m = mean(s);
 	double v = (double)s->log_square_sum * 1000 / n - m * m;
 
-	return v > 0 ? v / (n - 1) : 0;
+	return v > 0 ? v * n / (n - 1) : 0;
+}
+
+/* Returns the variance of the difference of the means. The variance of few answers is
+ * often far too small; that of the present version, with many, is a lower bound. */
+static double mean_variance(const struct rollout_sums *present,
+			    const struct rollout_sums *new)
+{
+	double of_present = variance_of(present);
+
+	return fmax(variance_of(new), of_present) /
+		       (double)(new->answers - new->bad) +
+	       of_present / (double)(present->answers - present->bad);
 }
 
 static int64_t good(const struct rollout_sums *s)
@@ -359,8 +398,7 @@
 		return false;
 	difference = mean(new) - mean(present);
 	return difference > SLOWER_MIN &&
-	       difference > ERRORS_MIN * sqrt(mean_variance(new) +
-					      mean_variance(present));
+	       difference > SLOW_ERRORS_MIN * sqrt(mean_variance(present, new));
 }
 
 /*
@@ -384,13 +422,12 @@
 		n += w;
 		n_present += good(present);
 		difference += w * (mean(new) - mean(present));
-		variance +=
-			w * w * (mean_variance(new) + mean_variance(present));
+		variance += w * w * mean_variance(present, new);
 	}
 	if (n < ANSWERS_MIN || n_present < ANSWERS_MIN)
 		return false;
 	return difference / n > SLOWER_MIN &&
-	       difference > ERRORS_MIN * sqrt(variance);
+	       difference > SLOW_ERRORS_MIN * sqrt(variance);
 }
 
 static void explain(char *out, size_t bytes, const char *row, const char *span,
@@ -474,6 +511,29 @@
 	return sum;
 }
 
+double evidence_rate(const struct rollout *r, const struct rollout_row *row,
+		     int64_t now_us)
+{
+	const struct rollout_snapshot *from = recent(r, now_us);
+	uint32_t i = (uint32_t)(row - r->row);
+	int64_t answers = 0;
+	int side;
+
+	if (!from)
+		return 0;
+	for (side = 0; side < 2; side++)
+		answers += since_order(r, i, side, false).answers -
+			   from->all[i][side].answers;
+	return (double)answers * 1e6 / (double)(now_us - from->at_us);
+}
+
+int64_t evidence_new_answers(const struct rollout *r,
+			     const struct rollout_row *row)
+{
+	return since_order(r, (uint32_t)(row - r->row), ROLLOUT_NEW_SIDE, false)
+		.answers;
+}
+
 bool evidence_enough(const struct rollout *r)
 {
 	struct rollout_sums new = evidence_sum(r, ROLLOUT_NEW_SIDE);
--- a/pkg/rollout/evidence.h
+++ b/pkg/rollout/evidence.h
@@ -36,6 +36,15 @@
 /* Returns the sums of all routes and hosts since the order, of one side. */
 struct rollout_sums evidence_sum(const struct rollout *r, int side);
 
+/* Returns the answers a second of a route, of both sides and all hosts, over the last
+ * 3 s; 0 if the order is younger. */
+double evidence_rate(const struct rollout *r, const struct rollout_row *row,
+		     int64_t now_us);
+
+/* Returns the answers of the new version on a route, of all hosts since the order. */
+int64_t evidence_new_answers(const struct rollout *r,
+			     const struct rollout_row *row);
+
 /* Start of the accumulators, in [0, 1). Defined in share.c. */
 double share_random(const struct rollout *r, const char *row);
 
--- a/pkg/rollout/progress.c
+++ b/pkg/rollout/progress.c
@@ -178,7 +178,7 @@
 	r->heard_elapsed = false;
 	r->own_bad = false;
 	r->own_bad_us = 0;
-	r->slow_us = 0;
+	r->bad_us = 0;
 	r->others_us = 0;
 	r->shift_us = 0;
 	r->shift_stored_us = 0;
--- a/pkg/rollout/rollout.c
+++ b/pkg/rollout/rollout.c
@@ -20,8 +20,12 @@
  * their ramp (share.c). At the last moment the hosts alone count. */
 #define SETTLE_US 2500000LL
 #define SETTLE_LAST_US 1500000LL
-/* Counters of one host arrive in several messages, 0.2 s apart; a time without its
- * count must not pass for a slow answer. */
+/*
+ * How long the evidence of all hosts must hold. Counters of one host arrive in several
+ * messages, 0.2 s apart; a time without its count must not pass for a slow answer. In
+ * the canary a second more costs little, and most excursions by chance are shorter.
+ */
+#define CANARY_CONFIRM_US 1000000LL
 #define SLOW_CONFIRM_US 300000LL
 /* This host's evidence yields to that of all hosts after this time. */
 #define OWN_YIELDS_US 1000000LL
@@ -53,23 +57,23 @@
 		      struct rollout_actions *out)
 {
 	char evidence[sizeof(out->reason) - 32];
+	enum evidence_verdict verdict =
+		evidence_judge(r, false, now_us, evidence, sizeof(evidence));
+	int64_t confirm_us = verdict == EVIDENCE_SLOW ? SLOW_CONFIRM_US : 0;
 
-	switch (evidence_judge(r, false, now_us, evidence, sizeof(evidence))) {
-	case EVIDENCE_NOTHING:
-		r->slow_us = 0;
+	if (verdict == EVIDENCE_NOTHING) {
+		r->bad_us = 0;
 		return false;
-	case EVIDENCE_SLOW:
-		if (!r->slow_us)
-			r->slow_us = now_us;
-		if (now_us - r->slow_us < SLOW_CONFIRM_US)
-			return false;
-		say(out, "cause=slow %s", evidence);
-		return true;
-	case EVIDENCE_FAILURES:
-		say(out, "cause=failures %s", evidence);
-		return true;
 	}
-	return false;
+	if (!r->bad_us)
+		r->bad_us = now_us;
+	if (r->stage == ROLLOUT_CANARY)
+		confirm_us = CANARY_CONFIRM_US;
+	if (now_us - r->bad_us < confirm_us)
+		return false;
+	say(out, "cause=%s %s", verdict == EVIDENCE_SLOW ? "slow" : "failures",
+	    evidence);
+	return true;
 }
 
 /*
@@ -89,7 +93,7 @@
 	else if (!r->own_bad_us)
 		r->own_bad_us = now_us;
 	overruled = r->others_us && now_us - r->others_us < OWN_YIELDS_US &&
-		    now_us - r->own_bad_us >= OWN_YIELDS_US && !r->slow_us &&
+		    now_us - r->own_bad_us >= OWN_YIELDS_US && !r->bad_us &&
 		    evidence_enough(r);
 	suspect = r->own_bad && !overruled;
 	if (suspect && !r->suspect)
@@ -116,7 +120,7 @@
 	if (reached(r, COMPLETE_PART, now_us) &&
 	    (r->view.new_endpoints == 0 || !has_evidence(r)))
 		return ROLLOUT_ROLLED_BACK;
-	if (r->suspect || r->slow_us || r->view.new_endpoints == 0)
+	if (r->suspect || r->bad_us || r->view.new_endpoints == 0)
 		return ROLLOUT_CANARY;
 	if (reached(r, SHIFT_PART, now_us) && evidence_enough(r))
 		return ROLLOUT_SHIFT;
@@ -132,7 +136,7 @@
 
 	if (last && r->view.new_endpoints == 0)
 		return ROLLOUT_ROLLED_BACK;
-	if (r->stored != ROLLOUT_SHIFT || r->suspect || r->slow_us)
+	if (r->stored != ROLLOUT_SHIFT || r->suspect || r->bad_us)
 		return ROLLOUT_SHIFT;
 	if (last ? settled_us >= SETTLE_LAST_US
 		 : settled_us >= SETTLE_US && r->view.present_running == 0)
--- a/pkg/rollout/rollout.h
+++ b/pkg/rollout/rollout.h
@@ -131,6 +131,7 @@
 struct rollout_row {
 	char name[ROLLOUT_ROW_BYTES];
 	bool is_gap;
+	uint64_t counter_hash; /* in the names of its counters */
 	/* Requests owed to the new version; one is sent when it reaches 1. */
 	double level;
 	uint64_t key[2][ROLLOUT_FIELDS]; /* of its counters, under the order */
@@ -193,7 +194,7 @@
 
 	bool own_bad;	    /* by this host's own evidence */
 	int64_t own_bad_us; /* since then */
-	int64_t slow_us;    /* all hosts' times are bad since then; 0: not */
+	int64_t bad_us;	    /* all hosts' times are bad since then; 0: not */
 	int64_t others_us;  /* another host last had an answer of the new */
 	uint32_t n_rows;
 	struct rollout_row row[ROLLOUT_ROWS_MAX];
