rollout: a test of each rule; own evidence yields before the shift completes

Own evidence now yields to fresh sums of all hosts at once when the shift has lasted 2 s or 0.88 of the duration have passed.

--- a/pkg/rollout/rollout.c
+++ b/pkg/rollout/rollout.c
@@ -27,8 +27,12 @@
  */
 #define CANARY_CONFIRM_US 1000000LL
 #define SLOW_CONFIRM_US 300000LL
-/* This host's evidence yields to that of all hosts after this time. */
+/* This host's evidence yields to that of all hosts after this time, and at once when
+ * the shift may soon be completed: in 1 of 400 schedules a host that judged a good
+ * version by itself still used the old endpoints then. */
 #define OWN_YIELDS_US 1000000LL
+#define OWN_YIELDS_SHIFT_US 2000000LL
+#define OWN_YIELDS_PART 0.88
 /* Hosts of higher rank judge the same at the same time and leave the announcement
  * to these, or 140 hosts would send 20,000 messages at once. */
 #define ANNOUNCE_RANKS 4
@@ -84,7 +88,7 @@
 		      struct rollout_actions *out)
 {
 	char evidence[sizeof(out->reason) - 32];
-	bool overruled, suspect;
+	bool ending, overruled, suspect;
 
 	r->own_bad = evidence_judge(r, true, now_us, evidence,
 				    sizeof(evidence)) != EVIDENCE_NOTHING;
@@ -92,11 +96,14 @@
 		r->own_bad_us = 0;
 	else if (!r->own_bad_us)
 		r->own_bad_us = now_us;
+	ending = r->stage == ROLLOUT_SHIFT &&
+		 (reached(r, OWN_YIELDS_PART, now_us) ||
+		  now_us - r->shift_us >= OWN_YIELDS_SHIFT_US);
 	overruled = r->others_us && now_us - r->others_us < OWN_YIELDS_US &&
-		    now_us - r->own_bad_us >= OWN_YIELDS_US && !r->bad_us &&
-		    evidence_enough(r);
+		    (ending || now_us - r->own_bad_us >= OWN_YIELDS_US) &&
+		    !r->bad_us && evidence_enough(r);
 	suspect = r->own_bad && !overruled;
-	if (suspect && !r->suspect)
+	if (suspect && !r->suspect && !out->logged)
 		say(out, "cause=own_evidence %s", evidence);
 	r->suspect = suspect;
 }
@@ -215,14 +222,17 @@
 void rollout_tick(struct rollout *r, const struct rollout_view *view,
 		  int64_t now_us, struct rollout_actions *out)
 {
+	bool bad;
+
 	memset(out, 0, sizeof(*out));
 	r->view = *view;
 	if (r->stage == ROLLOUT_NONE)
 		return;
 	evidence_tick(r, now_us);
 	if (r->stage == ROLLOUT_CANARY || r->stage == ROLLOUT_SHIFT) {
+		bad = judge_all(r, now_us, out);
 		judge_own(r, now_us, out);
-		if (judge_all(r, now_us, out))
+		if (bad)
 			roll_back(r);
 	}
 	plan_write(r, next_stage(r, now_us), now_us, out);
--- a/pkg/rollout/test/rollout_test.cc
+++ b/pkg/rollout/test/rollout_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <cstring>
 #include <memory>
 #include <string>
 
@@ -127,4 +128,300 @@
 		  ROLLOUT_NEW);
 }
 
+/* Half of the share in the canary; a request that finds no room counts once. */
+TEST(Rollout, TheShareIsHalfInTheCanaryAndDoubledWithoutEvidence)
+{
+	Host h;
+	int sent = 0;
+
+	h.order();
+	for (int i = 0; i < 1000; i++)
+		sent += h.choose() == ROLLOUT_NEW;
+	EXPECT_NEAR(sent, 50, 1);
+	for (int i = 0; i < 1000; i++)
+		EXPECT_EQ(h.choose("a", false), ROLLOUT_PRESENT);
+	EXPECT_EQ(h.choose(), ROLLOUT_NEW);
+	EXPECT_EQ(h.choose(), ROLLOUT_PRESENT);
+	h.run(7900 * kMs);
+	sent = 0;
+	for (int i = 0; i < 1000; i++)
+		sent += h.choose() == ROLLOUT_NEW;
+	EXPECT_NEAR(sent, 100, 1);
+}
+
+/* If all accumulators started at 0 or 1, hosts with few requests would send nothing,
+ * or all of them at once. */
+TEST(Rollout, FirstRequestsOfManyHostsHaveTheShareOnAverage)
+{
+	int sent = 0;
+
+	for (uint64_t seed = 1; seed <= 2000; seed++) {
+		Host h(0.1, seed);
+
+		h.order();
+		sent += h.choose() == ROLLOUT_NEW;
+	}
+	EXPECT_NEAR(sent, 100, 25);
+}
+
+TEST(Rollout, ARouteOfFewRequestsGetsMore)
+{
+	Host h;
+	int sent = 0;
+
+	h.order();
+	h.answers(1, false, false, 50 * kMs, "a");
+	h.run(3 * kS);
+	h.answers(6, false, false, 50 * kMs, "a");
+	h.run(500 * kMs);
+	for (int i = 0; i < 100; i++)
+		sent += h.choose() == ROLLOUT_NEW;
+	EXPECT_NEAR(sent, 30, 1);
+}
+
+TEST(Rollout, AVersionIsBadByFailuresOrTimesOfOneRouteOrAll)
+{
+	for (bool slow : {false, true}) {
+		Host h;
+
+		h.order();
+		h.run(kS);
+		h.answers(300, false);
+		h.answers(60, true);
+		h.answers(100, false, false, 50 * kMs, "b");
+		h.answers(8, true, !slow, 150 * kMs, "b");
+		EXPECT_EQ(h.run(500 * kMs), ROLLOUT_NONE);
+		EXPECT_TRUE(h.r->suspect);
+		EXPECT_EQ(h.choose(), ROLLOUT_PRESENT);
+		EXPECT_EQ(h.run(kS), ROLLOUT_ROLLED_BACK);
+		EXPECT_EQ(h.choose(), ROLLOUT_PRESENT);
+		EXPECT_EQ(h.run(20 * kS), ROLLOUT_NONE);
+	}
+}
+
+/* Since the order its failures are too few among good answers; not in 3 s. */
+TEST(Rollout, AVersionThatTurnsBadLaterIsFound)
+{
+	Host h;
+
+	h.order();
+	for (int i = 0; i < 50; i++, h.run(100 * kMs)) {
+		h.answers(40, false);
+		h.answers(6, true);
+	}
+	h.answers(100, false);
+	h.answers(12, true, true); /* of 312 since the order, of 192 in 3 s */
+	EXPECT_EQ(h.run(1200 * kMs), ROLLOUT_ROLLED_BACK);
+}
+
+TEST(Rollout, FewOrCommonFailuresProveNothing)
+{
+	Host few, both;
+
+	few.order();
+	few.answers(100, false);
+	few.answers(3, true, true);
+	few.run(2 * kS);
+	EXPECT_EQ(few.r->stage, ROLLOUT_CANARY);
+	both.order();
+	for (bool is_new : {false, true}) {
+		both.answers(60, is_new);
+		both.answers(40, is_new, true);
+	}
+	both.run(2 * kS);
+	EXPECT_EQ(both.r->stage, ROLLOUT_CANARY);
+}
+
+/* Moves the evidence of one host to another, as the gateway does. */
+void exchange(Host &from, Host &to)
+{
+	rollout_counter c[ROLLOUT_COUNTERS_MAX];
+	uint32_t n = rollout_fill_counters(from.r.get(), c);
+
+	for (uint32_t i = 0; i < n; i++) {
+		ASSERT_LT(strlen(c[i].name), 48u);
+		EXPECT_TRUE(
+			rollout_apply_counter(to.r.get(), namehash(c[i].name),
+					      (int64_t)c[i].amount, to.now));
+	}
+}
+
+/* A host whose own path fails must follow the sums, and must not judge for all. */
+TEST(Rollout, OwnEvidenceStopsThisHostUntilOthersRefuteIt)
+{
+	Host h, other;
+
+	rollout_add_row(h.r.get(), "a");
+	h.order();
+	other.order();
+	other.answers(2000, false);
+	other.answers(300, true);
+	exchange(other, h);
+	h.answers(100, false);
+	h.answers(6, true, true);
+	h.run(300 * kMs);
+	EXPECT_TRUE(h.r->suspect);
+	EXPECT_EQ(h.r->stage, ROLLOUT_CANARY);
+	h.run(800 * kMs);
+	other.r->row[0].own[1] = {};
+	other.answers(1, true);
+	exchange(other, h);
+	h.run(200 * kMs);
+	EXPECT_FALSE(h.r->suspect);
+}
+
+TEST(Rollout, WithoutEndpointOrEvidenceItIsRolledBackAtTheEnd)
+{
+	Host none, absent;
+
+	none.order();
+	EXPECT_EQ(none.run(11 * kS), ROLLOUT_CANARY);
+	EXPECT_EQ(none.run(500 * kMs), ROLLOUT_ROLLED_BACK);
+	absent.order();
+	absent.good_evidence();
+	absent.view.new_endpoints = 0;
+	EXPECT_EQ(absent.run(11 * kS), ROLLOUT_CANARY);
+	EXPECT_EQ(absent.run(500 * kMs), ROLLOUT_ROLLED_BACK);
+}
+
+TEST(Rollout, ThinEvidenceDecidesLater)
+{
+	Host h;
+
+	h.order();
+	h.answers(100, false);
+	h.answers(5, true);
+	EXPECT_EQ(h.run(9500 * kMs), ROLLOUT_CANARY);
+	EXPECT_EQ(h.run(200 * kMs), ROLLOUT_SHIFT);
+	EXPECT_EQ(h.run(1600 * kMs), ROLLOUT_COMPLETED);
+}
+
+/* Old endpoints stop at once at completed. */
+TEST(Rollout, CompletedEarlyOnlyIfNothingRunsAtTheOldOnes)
+{
+	Host h;
+
+	h.view.present_running = 0;
+	h.order();
+	h.good_evidence();
+	EXPECT_EQ(h.run(7900 * kMs), ROLLOUT_SHIFT);
+	EXPECT_EQ(h.run(2300 * kMs), ROLLOUT_NONE);
+	EXPECT_EQ(h.choose("a", false), ROLLOUT_PRESENT);
+	EXPECT_EQ(h.choose(), ROLLOUT_NEW);
+	EXPECT_EQ(h.run(300 * kMs), ROLLOUT_COMPLETED);
+}
+
+TEST(Rollout, WithoutTheStoreTheStageStaysAndABadVersionGetsNothing)
+{
+	Host good, bad;
+
+	for (Host *h : {&good, &bad}) {
+		h->order();
+		h->run(kS);
+		h->view.store_ok = false;
+		h->good_evidence();
+	}
+	bad.answers(30, true, true);
+	EXPECT_EQ(good.run(20 * kS), ROLLOUT_NONE);
+	EXPECT_EQ(good.r->stage, ROLLOUT_CANARY);
+	EXPECT_EQ(bad.run(20 * kS), ROLLOUT_NONE);
+	EXPECT_EQ(bad.choose(), ROLLOUT_PRESENT);
+	bad.view.store_ok = true;
+	EXPECT_EQ(bad.run(200 * kMs), ROLLOUT_ROLLED_BACK);
+}
+
+/* A write without a result is repeated, and a higher rank waits 0.3 s each. */
+TEST(Rollout, ARankWaitsAndAWriteIsRepeated)
+{
+	Host h;
+
+	h.view.rank = 3;
+	h.confirm = false;
+	h.order();
+	EXPECT_EQ(h.run(900 * kMs), ROLLOUT_NONE);
+	EXPECT_EQ(h.run(100 * kMs), ROLLOUT_CANARY);
+	EXPECT_EQ(h.run(400 * kMs), ROLLOUT_NONE);
+	EXPECT_EQ(h.run(100 * kMs), ROLLOUT_CANARY);
+	EXPECT_FALSE(h.progress(ROLLOUT_CANARY, ROLLOUT_FROM_STORE));
+	EXPECT_EQ(h.run(2 * kS), ROLLOUT_NONE);
+}
+
+TEST(Rollout, LaterStagesAndTheStoreTakePrecedence)
+{
+	Host h;
+
+	h.order();
+	h.run(100 * kMs);
+	EXPECT_TRUE(h.progress(ROLLOUT_SHIFT, ROLLOUT_FROM_HOST));
+	EXPECT_EQ(rollout_choose_again(h.r.get(), ROLLOUT_NEW), ROLLOUT_NEW);
+	EXPECT_FALSE(h.progress(ROLLOUT_CANARY, ROLLOUT_FROM_STORE));
+	EXPECT_TRUE(h.progress(ROLLOUT_ROLLED_BACK, ROLLOUT_FROM_HOST));
+	EXPECT_FALSE(h.progress(ROLLOUT_SHIFT, ROLLOUT_FROM_HOST));
+	EXPECT_EQ(rollout_choose_again(h.r.get(), ROLLOUT_NEW),
+		  ROLLOUT_PRESENT);
+	EXPECT_TRUE(h.progress(ROLLOUT_COMPLETED, ROLLOUT_FROM_STORE));
+	EXPECT_FALSE(h.progress(ROLLOUT_ROLLED_BACK, ROLLOUT_FROM_HOST));
+	EXPECT_EQ(h.choose(), ROLLOUT_NEW);
+}
+
+/* After the store was restored the operator's record comes again. */
+TEST(Rollout, ARepeatedOrderIsTheSameUntilItEnded)
+{
+	Host h;
+
+	EXPECT_TRUE(h.order("v2", 10));
+	EXPECT_FALSE(h.order("v2", 10));
+	EXPECT_FALSE(h.order("v2", 12));
+	EXPECT_TRUE(h.progress(ROLLOUT_ROLLED_BACK, ROLLOUT_FROM_STORE, 12));
+	EXPECT_FALSE(h.order("v2", 5, 1));
+	EXPECT_EQ(h.r->stage, ROLLOUT_ROLLED_BACK);
+	EXPECT_EQ(h.run(1500 * kMs), ROLLOUT_ROLLED_BACK);
+	EXPECT_TRUE(h.order("v2", 8, 1));
+	EXPECT_EQ(h.r->stage, ROLLOUT_CANARY);
+	/* A record of the run that ended. */
+	EXPECT_FALSE(h.progress(ROLLOUT_ROLLED_BACK, ROLLOUT_FROM_STORE, 12));
+	EXPECT_TRUE(h.order("v3", 9, 1));
+	EXPECT_TRUE(rollout_is_new(h.r.get(), "v3"));
+	EXPECT_FALSE(rollout_is_new(h.r.get(), "v2"));
+	rollout_on_order_deleted(h.r.get(), h.now);
+	EXPECT_EQ(h.choose(), ROLLOUT_ANY);
+}
+
+/* A wall clock that was stepped must not end a rollout early. */
+TEST(Rollout, AHostThatStartsTakesStageAndTimeFromOthersOrTheStore)
+{
+	Host old, young, early;
+
+	old.order();
+	old.progress(ROLLOUT_CANARY, ROLLOUT_FROM_STORE, 10, 100 * kS);
+	EXPECT_EQ(old.now - old.r->ordered_us, 0);
+	young.now -= 59 * kS;
+	young.order();
+	young.progress(ROLLOUT_CANARY, ROLLOUT_FROM_STORE, 10, 100 * kS);
+	EXPECT_EQ(young.now - young.r->ordered_us, 7800 * kMs);
+	early.progress(ROLLOUT_SHIFT, ROLLOUT_FROM_HOST, 10, 8 * kS);
+	early.now += kS;
+	early.order();
+	EXPECT_EQ(early.r->stage, ROLLOUT_SHIFT);
+	EXPECT_EQ(early.now - early.r->ordered_us, 9 * kS);
+}
+
+/* A total that fell would be taken as a refund by other hosts. */
+TEST(Rollout, CountersNeverFallAndFitAnyNumberOfRoutes)
+{
+	Host h;
+	rollout_counter c[ROLLOUT_COUNTERS_MAX];
+
+	h.order("v2", 10);
+	for (int i = 0; i < 100; i++)
+		h.answers(1, i % 2, false, kMs, std::to_string(i).c_str());
+	EXPECT_STREQ(h.r->row[ROLLOUT_ROWS_MAX - 1].name, ROLLOUT_OTHER_ROW);
+	EXPECT_EQ(h.r->row[ROLLOUT_ROWS_MAX - 1].own[0].answers, 34);
+	EXPECT_LE(rollout_fill_counters(h.r.get(), c), ROLLOUT_COUNTERS_MAX);
+	h.order("v3", 11);
+	EXPECT_EQ(rollout_fill_counters(h.r.get(), c), 0u);
+	h.order("v2", 12);
+	EXPECT_EQ(h.r->row[ROLLOUT_ROWS_MAX - 1].own[0].answers, 34);
+	EXPECT_FALSE(rollout_apply_counter(h.r.get(), 1, 1, h.now));
+}
 } // namespace
