--- a/pkg/rollout/rollout.c
+++ b/pkg/rollout/rollout.c
@@ -20,11 +20,19 @@
  * their ramp (share.c). At the last moment the hosts alone count. */
 #define SETTLE_US 2500000LL
 #define SETTLE_LAST_US 1500000LL
-/* Counters of one host arrive in several messages, 0.2 s apart; a time without its
- * count must not pass for a slow answer. */
+/*
+ * How long the evidence of all hosts must hold. Counters of one host arrive in several
+ * messages, 0.2 s apart; a time without its count must not pass for a slow answer. In
+ * the canary a second more costs little, and most excursions by chance are shorter.
+ */
+#define CANARY_CONFIRM_US 1000000LL
 #define SLOW_CONFIRM_US 300000LL
-/* This host's evidence yields to that of all hosts after this time. */
+/* This host's evidence yields to that of all hosts after this time, and at once when
+ * the shift may soon be completed: in 1 of 400 schedules a host that judged a good
+ * version by itself still used the old endpoints then. */
 #define OWN_YIELDS_US 1000000LL
+#define OWN_YIELDS_SHIFT_US 2000000LL
+#define OWN_YIELDS_PART 0.88
 /* Hosts of higher rank judge the same at the same time and leave the announcement
  * to these, or 140 hosts would send 20,000 messages at once. */
 #define ANNOUNCE_RANKS 4
@@ -53,23 +61,23 @@
 		      struct rollout_actions *out)
 {
 	char evidence[sizeof(out->reason) - 32];
+	enum evidence_verdict verdict =
+		evidence_judge(r, false, now_us, evidence, sizeof(evidence));
+	int64_t confirm_us = verdict == EVIDENCE_SLOW ? SLOW_CONFIRM_US : 0;
 
-	switch (evidence_judge(r, false, now_us, evidence, sizeof(evidence))) {
-	case EVIDENCE_NOTHING:
-		r->slow_us = 0;
+	if (verdict == EVIDENCE_NOTHING) {
+		r->bad_us = 0;
 		return false;
-	case EVIDENCE_SLOW:
-		if (!r->slow_us)
-			r->slow_us = now_us;
-		if (now_us - r->slow_us < SLOW_CONFIRM_US)
-			return false;
-		say(out, "cause=slow %s", evidence);
-		return true;
-	case EVIDENCE_FAILURES:
-		say(out, "cause=failures %s", evidence);
-		return true;
 	}
-	return false;
+	if (!r->bad_us)
+		r->bad_us = now_us;
+	if (r->stage == ROLLOUT_CANARY)
+		confirm_us = CANARY_CONFIRM_US;
+	if (now_us - r->bad_us < confirm_us)
+		return false;
+	say(out, "cause=%s %s", verdict == EVIDENCE_SLOW ? "slow" : "failures",
+	    evidence);
+	return true;
 }
 
 /*
@@ -80,7 +88,7 @@
 		      struct rollout_actions *out)
 {
 	char evidence[sizeof(out->reason) - 32];
-	bool overruled, suspect;
+	bool ending, overruled, suspect;
 
 	r->own_bad = evidence_judge(r, true, now_us, evidence,
 				    sizeof(evidence)) != EVIDENCE_NOTHING;
@@ -88,11 +96,14 @@
 		r->own_bad_us = 0;
 	else if (!r->own_bad_us)
 		r->own_bad_us = now_us;
+	ending = r->stage == ROLLOUT_SHIFT &&
+		 (reached(r, OWN_YIELDS_PART, now_us) ||
+		  now_us - r->shift_us >= OWN_YIELDS_SHIFT_US);
 	overruled = r->others_us && now_us - r->others_us < OWN_YIELDS_US &&
-		    now_us - r->own_bad_us >= OWN_YIELDS_US && !r->slow_us &&
-		    evidence_enough(r);
+		    (ending || now_us - r->own_bad_us >= OWN_YIELDS_US) &&
+		    !r->bad_us && evidence_enough(r);
 	suspect = r->own_bad && !overruled;
-	if (suspect && !r->suspect)
+	if (suspect && !r->suspect && !out->logged)
 		say(out, "cause=own_evidence %s", evidence);
 	r->suspect = suspect;
 }
@@ -116,7 +127,7 @@
 	if (reached(r, COMPLETE_PART, now_us) &&
 	    (r->view.new_endpoints == 0 || !has_evidence(r)))
 		return ROLLOUT_ROLLED_BACK;
-	if (r->suspect || r->slow_us || r->view.new_endpoints == 0)
+	if (r->suspect || r->bad_us || r->view.new_endpoints == 0)
 		return ROLLOUT_CANARY;
 	if (reached(r, SHIFT_PART, now_us) && evidence_enough(r))
 		return ROLLOUT_SHIFT;
@@ -132,7 +143,7 @@
 
 	if (last && r->view.new_endpoints == 0)
 		return ROLLOUT_ROLLED_BACK;
-	if (r->stored != ROLLOUT_SHIFT || r->suspect || r->slow_us)
+	if (r->stored != ROLLOUT_SHIFT || r->suspect || r->bad_us)
 		return ROLLOUT_SHIFT;
 	if (last ? settled_us >= SETTLE_LAST_US
 		 : settled_us >= SETTLE_US && r->view.present_running == 0)
@@ -211,14 +222,17 @@
 void rollout_tick(struct rollout *r, const struct rollout_view *view,
 		  int64_t now_us, struct rollout_actions *out)
 {
+	bool bad;
+
 	memset(out, 0, sizeof(*out));
 	r->view = *view;
 	if (r->stage == ROLLOUT_NONE)
 		return;
 	evidence_tick(r, now_us);
 	if (r->stage == ROLLOUT_CANARY || r->stage == ROLLOUT_SHIFT) {
+		bad = judge_all(r, now_us, out);
 		judge_own(r, now_us, out);
-		if (judge_all(r, now_us, out))
+		if (bad)
 			roll_back(r);
 	}
 	plan_write(r, next_stage(r, now_us), now_us, out);
