--- a/test/pools/rollout_tests.py
+++ b/test/pools/rollout_tests.py
@@ -14,7 +14,9 @@
            "test_another_host_writes_once_the_writer_is_killed",
            "test_writes_the_state_once_the_store_is_back",
            "test_writes_the_state_again_after_a_restore",
-           "test_a_host_that_wakes_follows_the_state_in_the_store"]
+           "test_a_host_that_wakes_follows_the_state_in_the_store",
+           "test_writes_a_state_again_that_was_refused",
+           "test_follows_a_final_state_that_came_before_its_own"]
 
 DURATION_S = 7
 
@@ -335,3 +337,56 @@
 
 
 test_a_host_that_wakes_follows_the_state_in_the_store.hosts = 3
+
+
+async def test_writes_a_state_again_that_was_refused(d):
+    """Guards against a state that is lost since a host's record came first."""
+    await start_rollout(d)
+    await add_version(d, "v2")
+    raced = []
+
+    def race(topic, query, body):
+        if "At" in query and len(raced) < 3:
+            raced.append(query)
+            d.store.put(topic, "a/h9", b"127.0.0.1:9")
+
+    d.store.before_append = race
+    order(d, "v2")
+    traffic = Traffic(d)
+    await until(lambda: final(d), DURATION_S)
+    await traffic.stop()
+    refused = [status for s in d.host_stores for _, status, _ in s.appends
+               if status == 412]
+    # Hosts of higher rank write, too, while the first one is refused.
+    assert len(refused) >= 3, (refused, raced)
+    assert final(d) == ["completed"], states(d)
+
+
+async def test_follows_a_final_state_that_came_before_its_own(d):
+    """Guards against two final states, if another host judged otherwise and was
+    faster."""
+    await start_rollout(d)
+    new = await add_version(d, "v2")
+    raced = []
+
+    def race(topic, query, body):
+        if raced or b'"State":"completed"' not in body:
+            return
+        raced.append(query)
+        rows = {key: value for key, value, _ in d.store.streams[topic]}
+        progress = json.loads(rows["rollout-progress/plain"])
+        d.store.put_json(topic, "rollout/plain",
+                         {"State": "rolled_back", "To": "v2"})
+        d.store.put_json(topic, "rollout-progress/plain",
+                         {**progress, "Stage": "rolled_back"})
+
+    d.store.before_append = race
+    order(d, "v2")
+    traffic = Traffic(d)
+    await until(lambda: final(d), DURATION_S)
+    await asyncio.sleep(0.3)
+    n = received(new)
+    await asyncio.sleep(2)
+    await traffic.stop()
+    assert final(d) == ["rolled_back"], states(d)
+    assert received(new) == n, "requests at a version that was rolled back"
--- a/test/pools/standins.py
+++ b/test/pools/standins.py
@@ -118,6 +118,8 @@
         self.calls = 0
         self.pages = []  # of snapshots read: (topic, key before the page)
         self.appends = []  # through this port: (time, status, keys)
+        # Of the root: called with (topic, query, body) before each append.
+        self.before_append = None
 
     def copy(self):
         """Returns a copy of the streams, for restore()."""
@@ -185,6 +187,8 @@
 
     def append(self, topic, query, body):
         """Appends all records of the body, or none if At is not the end."""
+        if self.root.before_append:
+            self.root.before_append(topic, query, body)
         end = len(self.streams.get(topic, []))
         if int(query.get("At", end)) != end:
             self.appends.append((time.monotonic(), 412, []))
