--- a/test/pools/rollout_tests.py
+++ b/test/pools/rollout_tests.py
@@ -15,6 +15,7 @@
            "test_writes_the_state_once_the_store_is_back",
            "test_writes_the_state_again_after_a_restore",
            "test_a_host_that_wakes_follows_the_state_in_the_store",
+           "test_a_host_that_starts_knows_the_state",
            "test_writes_a_state_again_that_was_refused",
            "test_follows_a_final_state_that_came_before_its_own"]
 
@@ -390,3 +391,29 @@
     await traffic.stop()
     assert final(d) == ["rolled_back"], states(d)
     assert received(new) == n, "requests at a version that was rolled back"
+
+
+async def test_a_host_that_starts_knows_the_state(d):
+    """Guards against requests at a version that was rolled back, by a host that
+    has just started and read endpoints before the order and the state."""
+    await start_rollout(d)
+    new = await add_version(d, "v2")
+    for e in new:
+        e.fault = "error"
+    order(d, "v2")
+    traffic = Traffic(d)
+    await until(lambda: final(d), DURATION_S)
+    await traffic.stop()
+    # Further records, so that the order is not on the first page.
+    for i in range(12):
+        d.store.put_json("keyed.op", f"other/{i}", {})
+        d.store.put("keyed.status", f"a/x{i}", b"127.0.0.1:9")
+    await asyncio.sleep(0.5)
+    n = received(new)
+    for _ in range(3):
+        await d.hosts[1].kill()
+        await d.hosts[1].start()
+        await d.wait_ready()
+        for _ in range(15):
+            assert (await d.request("idempotent", host=1))[1].status == 200
+    assert received(new) == n, received(new) - n
