Merge rollouts in the gateway

No call is hedged while its service has a rollout: the answers of both versions are compared, and a second attempt would count for one of them.

--- a/cmd/figbend/daemon.c
+++ b/cmd/figbend/daemon.c
@@ -90,6 +90,7 @@
 	case FIG_SUSPECTS:
 	case FIG_NOTICES:
 	case FIG_START_KNOWN:
+	case FIG_ROLLOUT:
 		break;
 	}
 	return -EPROTO;
@@ -126,6 +127,7 @@
 	case FIG_SUSPECTS:
 	case FIG_NOTICES:
 	case FIG_START_KNOWN:
+	case FIG_ROLLOUT:
 		break;
 	}
 }
--- a/cmd/figbend/gateway/gateway.h
+++ b/cmd/figbend/gateway/gateway.h
@@ -19,6 +19,7 @@
 #include "ratelimit.h"
 #include "record.h"
 #include "relay.h"
+#include "rollouts.h"
 #include "spread.h"
 #include "stats.h"
 
@@ -154,7 +155,8 @@
 
 	struct spread spread; /* record_fetch.c */
 
-	struct hedge *hedge; /* hedge.c; NULL if hedging is off */
+	struct hedge *hedge;	  /* hedge.c; NULL if hedging is off */
+	struct rollouts rollouts; /* rollouts.c, rollouts_req.c */
 };
 
 /*
--- a/cmd/figbend/gateway/hedge.c
+++ b/cmd/figbend/gateway/hedge.c
@@ -453,8 +453,9 @@
 	struct gateway *g = r->g;
 	int64_t delay_us;
 
+	/* While versions are compared, each request counts for one of them. */
 	if (!g->hedge || r->route->kind != CALL_IDEMPOTENT || r->hedged ||
-	    r->failed_attempts || r->route->attempts_max < 2)
+	    r->failed_attempts || r->route->attempts_max < 2 || r->rollout.of)
 		return;
 	if (!r->call_counted) {
 		r->call_counted = true;
--- a/cmd/figbend/gateway/plain.c
+++ b/cmd/figbend/gateway/plain.c
@@ -103,6 +103,7 @@
 	fleet_record_outcome(r->endpoint, FLEET_SUCCESS, now_us - r->sent_us,
 			     now_us);
 	crash_acquit(r);
+	rollouts_record_answer(r, r->endpoint);
 	hedge_observe_first(r);
 	hedge_finish(r, HEDGE_FIRST_WON);
 	req_complete(r);
@@ -123,6 +124,7 @@
 		result->may_have_executed, (long long)(now_us - sent_us) / 1000,
 		e->running, (long long)(now_us - e->load_us) / 1000);
 	fleet_record_outcome(e, result->outcome, now_us - sent_us, now_us);
+	rollouts_record_failure(r, e, result->outcome);
 	req_exclude_endpoint(r, e);
 	if (result->outcome != FLEET_CONNECT_FAILED)
 		r->failed_attempts++;
@@ -168,6 +170,7 @@
 	};
 	memcpy(query->excluded, r->excluded, sizeof(query->excluded));
 	heartbeat_update_loads(r->g);
+	rollouts_fill_query(r, query);
 }
 
 static int64_t attempt_timeout_us(const struct req *r)
--- a/pkg/stats/stats.h
+++ b/pkg/stats/stats.h
@@ -83,6 +83,14 @@
 	  "calls without a hedge: many at once were slow")                     \
 	X(HEDGES_DENIED_SHARE, "hedges_denied_share",                          \
 	  "calls without a hedge: the share is used")                          \
+	X(ROLLOUT_SENDS, "rollout_sends",                                      \
+	  "requests sent to the new version of a rollout")                     \
+	X(ROLLOUT_BAD, "rollout_bad_answers",                                  \
+	  "bad answers of the new version of a rollout")                       \
+	X(ROLLOUTS_COMPLETED, "rollouts_completed",                            \
+	  "rollouts that this host wrote as completed")                        \
+	X(ROLLOUTS_ROLLED_BACK, "rollouts_rolled_back",                        \
+	  "rollouts that this host wrote as rolled back")                      \
 	X(STORE_CALLS, "store_calls", "calls to the store")                    \
 	X(STORE_FAILURES, "store_failures", "calls to the store that failed")  \
 	X(CONNECTS, "connects", "connections opened to endpoints")             \
