--- a/pkg/pool_settings/pool_settings.c
+++ b/pkg/pool_settings/pool_settings.c
@@ -98,7 +98,6 @@
 		root, "rollout_stop_ms", ROLLOUT_STOP_MS_DEFAULT, 100, 3.6e6);
 	s->hedge_share =
 		jread_double_or(root, "hedge_share", 0, 0, HEDGE_SHARE_MAX);
-	s->early_refusal = jread_bool_or(root, "early_refusal", false);
 }
 
 /* No error shows the value, since it may be the secret with a typing error. */
--- a/pkg/pool_settings/pool_settings.h
+++ b/pkg/pool_settings/pool_settings.h
@@ -48,9 +48,6 @@
 	/* Part of a service's idempotent requests that may be hedged, over all
 	 * hosts; optional, 0 by default: none. */
 	double hedge_share;
-	/* Refuse a request at once if the backlog of its service over all hosts
-	 * leaves it no chance; optional, false by default. */
-	bool early_refusal;
 };
 
 /*
