gateway: a response to a write counts for its own order only

Cause: while the write of a final state was under way, a new order replaced the one it was for. The next tick planned a write for the new order, and the late response was then taken for that: the host took the new order for rolled back, or completed, without any record of it in the store. Change: the position of the order is kept with the write, and the response of a write for an earlier order is only logged.

--- a/cmd/figbend/gateway/rollouts.c
+++ b/cmd/figbend/gateway/rollouts.c
@@ -343,7 +343,9 @@
 		stats_add(&gr->g->stats, STATS_ROLLOUTS_COMPLETED, 1);
 	if (gr->writing == ROLLOUT_ROLLED_BACK)
 		stats_add(&gr->g->stats, STATS_ROLLOUTS_ROLLED_BACK, 1);
-	rollout_on_written(&gr->r, gr->writing, gateway_now_us(gr->g));
+	/* The order may have been replaced while the write was under way. */
+	if (gr->writing_position == gr->r.first_position)
+		rollout_on_written(&gr->r, gr->writing, gateway_now_us(gr->g));
 	note_change(gr, "own");
 }
 
@@ -396,6 +398,7 @@
 	gr->refused_end = 0;
 	p.stage = stage;
 	gr->writing = stage;
+	gr->writing_position = gr->r.first_position;
 	gr->status = 0;
 	gr->write_us = gateway_now_us(g);
 	h1_buf_finish(&gr->body);
--- a/cmd/figbend/gateway/rollouts.h
+++ b/cmd/figbend/gateway/rollouts.h
@@ -42,7 +42,8 @@
 	struct h1_buf body;	     /* response received so far */
 	uint16_t status;
 	enum rollout_stage writing;
-	int64_t write_us; /* start of the last write */
+	uint64_t writing_position; /* first_position of the order written for */
+	int64_t write_us;	   /* start of the last write */
 	/* Where the stream ended when it refused a write; 0 if none was refused.
 	 * The next write waits until this host has the records before it. */
 	uint64_t refused_end;
--- a/test/pools/rollout_tests.py
+++ b/test/pools/rollout_tests.py
@@ -17,7 +17,8 @@
            "test_a_host_that_wakes_follows_the_state_in_the_store",
            "test_a_host_that_starts_knows_the_state",
            "test_writes_a_state_again_that_was_refused",
-           "test_follows_a_final_state_that_came_before_its_own"]
+           "test_follows_a_final_state_that_came_before_its_own",
+           "test_a_late_response_to_a_write_is_not_for_the_next_order"]
 
 DURATION_S = 7
 
@@ -417,3 +418,32 @@
         for _ in range(15):
             assert (await d.request("idempotent", host=1))[1].status == 200
     assert received(new) == n, received(new) - n
+
+
+async def test_a_late_response_to_a_write_is_not_for_the_next_order(d):
+    """Guards against an order that takes over the final state of the order
+    before it, as the response to that write comes after the new order."""
+    await start_rollout(d)
+    bad = await add_version(d, "v2")
+    for e in bad:
+        e.fault = "error"
+    order(d, "v2")
+    traffic = Traffic(d)
+
+    def slow_down(topic, query, body):
+        if b'"State":"rolled_back"' in body:
+            d.store.append_delay_s = 0.8
+
+    d.store.before_append = slow_down
+    await until(lambda: final(d), DURATION_S)
+    for e in bad:
+        d.store.put("keyed.servers", e.name, None)
+    await add_version(d, "v3")
+    order(d, "v3")
+    await asyncio.sleep(1.2)
+    d.store.before_append, d.store.append_delay_s = None, 0
+    logs = "".join(h.log() for h in d.hosts)
+    assert "event=rollout_stage service=plain to=v3 stage=rolled" not in logs
+    await until(lambda: len(final(d)) > 1, DURATION_S)
+    await traffic.stop()
+    assert states(d)[-1] == {"State": "completed", "To": "v3"}, states(d)
--- a/test/pools/standins.py
+++ b/test/pools/standins.py
@@ -115,6 +115,7 @@
         self.era = None  # of the root
         self.mode = "ok"
         self.delay_s = 0
+        self.append_delay_s = 0  # of the root: before responses to appends
         self.calls = 0
         self.pages = []  # of snapshots read: (topic, key before the page)
         self.appends = []  # through this port: (time, status, keys)
@@ -177,7 +178,9 @@
             await asyncio.sleep(self.delay_s)
             writer.write(await self.at_read_rate(out))
         elif path == "/figbend/log-append":
-            writer.write(self.append(topic, query, body))
+            out = self.append(topic, query, body)
+            await asyncio.sleep(self.root.append_delay_s)
+            writer.write(out)
         else:
             writer.write(self.response(404))
         if self.mode == "close":
