gateway: no times of attempts sent before their rollout was known

Cause: a query for a request under way, by a time-out or a second attempt, resets its side when an order has come. The start of the attempt was then 0, and its answer counted with the time since the clock's origin. Change: an attempt without a start is left out of the evidence. Found by reading; there is no test of its own.

--- a/cmd/figbend/gateway/rollouts_req.c
+++ b/cmd/figbend/gateway/rollouts_req.c
@@ -189,7 +189,7 @@
 {
 	struct rollouts_req *ro = &r->rollout;
 
-	if (!ro->of)
+	if (!ro->of || !ro->sent_us)
 		return;
 	ro->first_event_us = gateway_now_us(r->g);
 	ro->events_before = r->events.n_events;
@@ -217,7 +217,8 @@
 {
 	struct rollouts_req *ro = &r->rollout;
 
-	if (!ro->of)
+	/* An attempt that was sent before its rollout was known has no start. */
+	if (!ro->of || !ro->sent_us)
 		return;
 	if (ro->first_event_us)
 		observe_gaps(r, e);
