rollout: an older order of a restored store replaces nothing

Cause: a store that comes back from a copy older than the running order shows the order before it, at a position of the new era. Hosts started that order again without its final state: they dropped the running order, and the version that it rolls out counted as the present one, with nearly all requests, until the operator had written its order again. Change: in a new era, the text of an order that was replaced is ignored. A host that never saw the older order still starts it.

--- a/pkg/rollout/progress.c
+++ b/pkg/rollout/progress.c
@@ -206,7 +206,22 @@
 	memset(r->early, 0, sizeof(r->early));
 }
 
-/* Returns true if this is the present order, and takes over its new position. */
+/* Returns true if this is the text of an order that the present one replaced. */
+static bool was_replaced(const struct rollout *r, uint64_t text_hash)
+{
+	int i;
+
+	for (i = 0; i < ROLLOUT_PAST_MAX; i++)
+		if (r->past[i].n_rows && r->past[i].text_hash == text_hash)
+			return true;
+	return false;
+}
+
+/*
+ * Returns true if this is the present order, and takes over its new position, or if it
+ * is an older one that a store shows which came back from a copy: the operator writes
+ * the present one again.
+ */
 static bool repeats(struct rollout *r, const struct rollout_order *order)
 {
 	bool new_era = record_era(order->position) >
@@ -217,7 +232,7 @@
 	if (order->position <= r->order.position)
 		return true;
 	if (order->text_hash != r->order.text_hash)
-		return false;
+		return new_era && was_replaced(r, order->text_hash);
 	if (r->final && !new_era)
 		return false;
 	r->order.position = order->position;
--- a/pkg/rollout/test/rollout_test.cc
+++ b/pkg/rollout/test/rollout_test.cc
@@ -388,6 +388,23 @@
 }
 
 /* A wall clock that was stepped must not end a rollout early. */
+/* Otherwise, the present version of the older order, which is the new one of the
+ * running order, gets nearly all requests after a restore. */
+TEST(Rollout, AnOlderOrderOfARestoredStoreDoesNotReplaceThePresentOne)
+{
+	Host h;
+
+	rollout_add_row(h.r.get(), "route");
+	ASSERT_TRUE(h.order("v2", 10));
+	h.progress(ROLLOUT_COMPLETED, ROLLOUT_FROM_STORE);
+	ASSERT_TRUE(h.order("v3", 20));
+	rollout_on_store_restored(h.r.get());
+	EXPECT_FALSE(h.order("v2", 10, 1));
+	EXPECT_TRUE(rollout_is_new(h.r.get(), "v3"));
+	EXPECT_FALSE(h.order("v3", 15, 1)) << "the present one, repeated";
+	EXPECT_TRUE(h.order("v2", 30, 1)) << "a later order of the operator";
+}
+
 TEST(Rollout, AHostThatStartsTakesStageAndTimeFromOthersOrTheStore)
 {
 	Host old, young, early;
