gateway: no prefill at a version that is held back

Cause: the query for a prefill endpoint was restricted to the version of the decode endpoint only where a rollout is known. In the 2 s before the order, the prefill endpoints of the new version got prompts for decode endpoints of the old one. Change: the same restriction applies while a version is held back. Measured: 3 tests of rollouts pass, the one of model engines among them. Found by reading; there is no test of its own.

--- a/cmd/figbend/gateway/rollouts_req.c
+++ b/cmd/figbend/gateway/rollouts_req.c
@@ -142,7 +142,8 @@
 /* See rollouts.h. */
 void rollouts_fill_prefill_query(const struct req *r, struct fleet_query *query)
 {
-	if (!r->rollout.of)
+	/* An endpoint of a version that is held back gets no prefill either. */
+	if (!r->rollout.of && !r->g->rollouts.held_until_us)
 		return;
 	query->version = r->endpoint->entry.version;
 	query->version_match = FLEET_VERSION_IS;
