--- a/cmd/figbend/gateway/rollouts_req.c
+++ b/cmd/figbend/gateway/rollouts_req.c
@@ -142,7 +142,8 @@
 /* See rollouts.h. */
 void rollouts_fill_prefill_query(const struct req *r, struct fleet_query *query)
 {
-	if (!r->rollout.of)
+	/* An endpoint of a version that is held back gets no prefill either. */
+	if (!r->rollout.of && !r->g->rollouts.held_until_us)
 		return;
 	query->version = r->endpoint->entry.version;
 	query->version_match = FLEET_VERSION_IS;
@@ -189,7 +190,7 @@
 {
 	struct rollouts_req *ro = &r->rollout;
 
-	if (!ro->of)
+	if (!ro->of || !ro->sent_us)
 		return;
 	ro->first_event_us = gateway_now_us(r->g);
 	ro->events_before = r->events.n_events;
@@ -217,7 +218,8 @@
 {
 	struct rollouts_req *ro = &r->rollout;
 
-	if (!ro->of)
+	/* An attempt that was sent before its rollout was known has no start. */
+	if (!ro->of || !ro->sent_us)
 		return;
 	if (ro->first_event_us)
 		observe_gaps(r, e);
