rollouts: a version that was rolled back gets nothing under the next order

Change: each host excludes the version that the order before rolled back. Also from the review: `completed` waits until nothing has run at the present version for 1 s, not for one moment; a response to a write that comes after the store was restored is ignored; texts of replaced orders are kept apart from their counters.

--- a/cmd/figbend/gateway/rollouts.c
+++ b/cmd/figbend/gateway/rollouts.c
@@ -151,6 +151,17 @@
 		(unsigned long long)record_offset(position), source, reason);
 }
 
+/* A new order begins after one for the version before, which had reached the stage. */
+static void exclude_rolled_back(struct gateway_rollout *gr,
+				enum rollout_stage stage, const char *before)
+{
+	if (stage == ROLLOUT_ROLLED_BACK)
+		snprintf(gr->rolled_back, sizeof(gr->rolled_back), "%s",
+			 before);
+	if (strcmp(gr->rolled_back, gr->r.order.to) == 0)
+		gr->rolled_back[0] = '\0';
+}
+
 /* See rollouts.h. Without a configuration the order waits for it. */
 void rollouts_apply_order(struct gateway *g, const char *service,
 			  const char *value, size_t n, uint64_t position,
@@ -158,7 +169,8 @@
 {
 	struct gateway_rollout *gr = find(g, service);
 	char reason[ADAPTER_REASON_BYTES] = "out of memory";
-	struct rollout_order order;
+	struct rollout_order order, before;
+	enum rollout_stage stage_before;
 
 	if (!is_on(g))
 		return;
@@ -187,7 +199,10 @@
 		return;
 	}
 	order.position = position;
+	before = gr->r.order;
+	stage_before = gr->r.stage;
 	if (rollout_on_order(&gr->r, &order, gateway_now_us(g))) {
+		exclude_rolled_back(gr, stage_before, before.to);
 		logline(LOG_NOTICE, "rollout_ordered",
 			"service=%s to=%s duration_ms=%lld offset=%llu "
 			"source=%s",
@@ -305,6 +320,8 @@
 	TAILQ_FOREACH(gr, &g->rollouts.list, entry)
 	{
 		gr->refused_end = 0;
+		/* What is being written may be lost with the era. */
+		gr->writing_position = UINT64_MAX;
 		rollout_on_store_restored(&gr->r);
 	}
 }
--- a/cmd/figbend/gateway/rollouts.h
+++ b/cmd/figbend/gateway/rollouts.h
@@ -37,6 +37,9 @@
 	 * are alike until the next order. */
 	bool over;
 	int64_t alone_us; /* since when; 0 if another version is in use */
+	/* Version that the order before rolled back, "" if none: its endpoints
+	 * drain some seconds later, and get nothing meanwhile. */
+	char rolled_back[ROLLOUT_VERSION_BYTES];
 
 	struct h1_exchange exchange; /* writes the state */
 	struct h1_buf body;	     /* response received so far */
--- a/cmd/figbend/gateway/rollouts_req.c
+++ b/cmd/figbend/gateway/rollouts_req.c
@@ -131,6 +131,8 @@
 			leave_out_held(r, query);
 		return;
 	}
+	if (of->rolled_back[0])
+		query->excluded_version = of->rolled_back;
 	if (r->endpoint) {
 		set_side(query, of, rollout_choose_again(&of->r, ro->side));
 		return;
--- a/pkg/fleet/choose.c
+++ b/pkg/fleet/choose.c
@@ -144,6 +144,9 @@
 static bool version_matches(const struct fleet_query *q,
 			    const struct fleet_endpoint *e)
 {
+	if (q->excluded_version &&
+	    strcmp(e->entry.version, q->excluded_version) == 0)
+		return false;
 	switch (q->version_match) {
 	case FLEET_VERSION_IS:
 		return strcmp(e->entry.version, q->version) == 0;
--- a/pkg/fleet/fleet.h
+++ b/pkg/fleet/fleet.h
@@ -185,10 +185,11 @@
 	const char *service;
 	enum fleet_stage stage;
 	enum fleet_version_match version_match;
-	const char *version;	  /* borrowed; ignored for FLEET_VERSION_ANY */
-	uint32_t kv_tokens;	  /* KV memory needed, 0 for none */
-	uint32_t headroom_tokens; /* KV memory that must remain free */
-	uint32_t kv_capacity_tokens; /* KV memory of an endpoint */
+	const char *version; /* borrowed; ignored for FLEET_VERSION_ANY */
+	const char *excluded_version; /* borrowed; NULL for none */
+	uint32_t kv_tokens;	      /* KV memory needed, 0 for none */
+	uint32_t headroom_tokens;     /* KV memory that must remain free */
+	uint32_t kv_capacity_tokens;  /* KV memory of an endpoint */
 	/* Rate limit for an endpoint that is warming up, over all hosts; 0 if
 	 * unlimited. */
 	double cold_requests_per_s;
--- a/pkg/fleet/test/fleet_test.cc
+++ b/pkg/fleet/test/fleet_test.cc
@@ -105,6 +105,11 @@
 		q.version_match = FLEET_VERSION_IS_NOT;
 		EXPECT_EQ(fleet_choose(&f, &q, now_us, &result), a);
 	}
+	q.version_match = FLEET_VERSION_ANY;
+	q.excluded_version = "v2";
+	for (int i = 0; i < 20; i++)
+		EXPECT_EQ(fleet_choose(&f, &q, now_us, &result), a);
+	q.excluded_version = nullptr;
 	q.version = "v3";
 	q.version_match = FLEET_VERSION_IS;
 	EXPECT_EQ(fleet_choose(&f, &q, now_us, &result), nullptr);
--- a/pkg/rollout/progress.c
+++ b/pkg/rollout/progress.c
@@ -166,6 +166,8 @@
 static void end_order(struct rollout *r)
 {
 	evidence_stop(r);
+	r->replaced[r->n_replaced++ % ROLLOUT_REPLACED_MAX] =
+		r->order.text_hash;
 	if (r->order.position > r->ended_position)
 		r->ended_position = r->order.position;
 	r->stage = ROLLOUT_NONE;
@@ -182,6 +184,7 @@
 	r->others_us = 0;
 	r->shift_us = 0;
 	r->shift_stored_us = 0;
+	r->idle_us = 0;
 }
 
 static void start_order(struct rollout *r, const struct rollout_order *order,
@@ -211,8 +214,8 @@
 {
 	int i;
 
-	for (i = 0; i < ROLLOUT_PAST_MAX; i++)
-		if (r->past[i].n_rows && r->past[i].text_hash == text_hash)
+	for (i = 0; i < ROLLOUT_REPLACED_MAX; i++)
+		if (r->replaced[i] == text_hash)
 			return true;
 	return false;
 }
--- a/pkg/rollout/rollout.c
+++ b/pkg/rollout/rollout.c
@@ -20,6 +20,9 @@
  * their ramp (share.c). At the last moment the hosts alone count. */
 #define SETTLE_US 2500000LL
 #define SETTLE_LAST_US 1500000LL
+/* Nothing has run at the present version for this time: a single moment without a
+ * request there is not the end while hosts still fall back to it. */
+#define IDLE_US 1000000LL
 /*
  * How long the evidence of all hosts must hold. Counters of one host arrive in several
  * messages, 0.2 s apart; a time without its count must not pass for a slow answer. In
@@ -146,7 +149,8 @@
 	if (r->stored != ROLLOUT_SHIFT || r->suspect || r->bad_us)
 		return ROLLOUT_SHIFT;
 	if (last ? settled_us >= SETTLE_LAST_US
-		 : settled_us >= SETTLE_US && r->view.present_running == 0)
+		 : settled_us >= SETTLE_US && r->idle_us &&
+			    now_us - r->idle_us >= IDLE_US)
 		return ROLLOUT_COMPLETED;
 	return ROLLOUT_SHIFT;
 }
--- a/pkg/rollout/rollout.h
+++ b/pkg/rollout/rollout.h
@@ -127,6 +127,7 @@
 #define ROLLOUT_SNAPSHOTS 8
 /* Sets of counters that the orders of a service share. */
 #define ROLLOUT_SLOTS 4
+#define ROLLOUT_REPLACED_MAX 4
 
 /* A route, or the gaps in its streams. Sides: 0 is present, 1 is new. */
 struct rollout_row {
@@ -184,6 +185,7 @@
 	enum rollout_stage stored; /* the stage in the store */
 	int64_t shift_us;	   /* this host entered the shift */
 	int64_t shift_stored_us;   /* it saw the shift in the store */
+	int64_t idle_us; /* nothing runs at the present version since; 0 */
 	enum rollout_stage wanted; /* to be written */
 	int64_t wanted_us;	   /* since then, with the store in reach */
 	enum rollout_stage write;  /* last one passed to the caller */
@@ -201,6 +203,9 @@
 	struct rollout_snapshot snapshot[ROLLOUT_SNAPSHOTS];
 	uint32_t n_snapshots; /* taken since the order */
 	struct rollout_past past[ROLLOUT_SLOTS];
+	/* Texts of orders that ended; a ring. */
+	uint64_t replaced[ROLLOUT_REPLACED_MAX];
+	uint32_t n_replaced;
 };
 
 /* Starts without an order. seed makes the random choices reproducible. */
--- a/test/pools/rollout_tests.py
+++ b/test/pools/rollout_tests.py
@@ -18,7 +18,8 @@
            "test_a_host_that_starts_knows_the_state",
            "test_writes_a_state_again_that_was_refused",
            "test_follows_a_final_state_that_came_before_its_own",
-           "test_a_late_response_to_a_write_is_not_for_the_next_order"]
+           "test_a_late_response_to_a_write_is_not_for_the_next_order",
+           "test_a_rolled_back_version_gets_nothing_under_the_next_order"]
 
 DURATION_S = 7
 
@@ -420,6 +421,26 @@
     assert received(new) == n, received(new) - n
 
 
+async def test_a_rolled_back_version_gets_nothing_under_the_next_order(d):
+    """Guards against a version that was rolled back and counts as the present one
+    once a further version is ordered, while its endpoints have not drained yet."""
+    await start_rollout(d)
+    bad = await add_version(d, "v2")
+    for e in bad:
+        e.fault = "error"
+    order(d, "v2")
+    traffic = Traffic(d)
+    await until(lambda: final(d), DURATION_S)
+    await asyncio.sleep(1)
+    before = [len(e.executed) for e in bad]
+    await add_version(d, "v3")
+    order(d, "v3")
+    await until(lambda: len(final(d)) > 1, DURATION_S + 1)
+    await traffic.stop()
+    assert states(d)[-1] == {"State": "completed", "To": "v3"}, states(d)
+    assert [len(e.executed) for e in bad] == before
+
+
 async def test_a_late_response_to_a_write_is_not_for_the_next_order(d):
     """Guards against an order that takes over the final state of the order
     before it, as the response to that write comes after the new order."""
