fleet: a change of the hosts counts from when it happened

Cause: a host learned of a change of its rank, or of the number of hosts, at its next choice of an endpoint with a limit, and lost its present turn then, however long ago the change was. A host with few requests for the service lost the turn of each request if the known hosts had changed since the one before, and used every other turn for a second after that.

Change: fleet_set_rank() records the time of the change, and only a turn that began before it counts as used. The limit itself still counts from the first choice after its change, since its notice may be old.

--- a/cmd/figbend/gateway/heartbeat.c
+++ b/cmd/figbend/gateway/heartbeat.c
@@ -284,7 +284,8 @@
 	clock_gettime(CLOCK_REALTIME, &wall);
 	fleet_set_rank(&g->fleet, rank, ranks,
 		       (int64_t)wall.tv_sec * 1000000 + wall.tv_nsec / 1000 -
-			       now_us);
+			       now_us,
+		       now_us);
 }
 
 /* Tells a host whose messages are refused which start of it is known. */
--- a/pkg/fleet/fleet.h
+++ b/pkg/fleet/fleet.h
@@ -79,7 +79,7 @@
 	int64_t turn;	     /* number of this host's last turn */
 	int64_t used_turn;   /* the last one in which a request was sent */
 	uint32_t schedule;   /* fleet.schedule for which these are, or 0 */
-	int64_t schedule_us; /* when that was taken over */
+	int64_t schedule_us; /* since when */
 };
 
 /* How long work takes on an endpoint's machine, as its responses state it. */
@@ -170,7 +170,8 @@
 	uint32_t clock_step_calls;
 	/* Counts changes of these: what was a turn before may be none now. */
 	uint32_t schedule;
-	uint64_t random; /* state of the random generator */
+	int64_t schedule_us; /* when it changed last */
+	uint64_t random;     /* state of the random generator */
 };
 
 /* Which versions of endpoints satisfy a query. */
@@ -317,7 +318,7 @@
  * step of that time is followed after one to three minutes.
  */
 void fleet_set_rank(struct fleet *f, uint32_t rank, uint32_t ranks,
-		    int64_t wall_offset_us);
+		    int64_t wall_offset_us, int64_t now_us);
 /* Returns true if the endpoint named a limit in its last answer. */
 bool fleet_is_limited(const struct fleet_endpoint *e);
 /*
--- a/pkg/fleet/rate.c
+++ b/pkg/fleet/rate.c
@@ -125,14 +125,17 @@
 			(double)(e->start_key >> 40) / (1 << 24);
 	double turn = (double)(now_us + f->wall_offset_us) / 1e6 * turns_per_s +
 		      offset;
+	double since_s;
 
 	e->limit.turn = (int64_t)turn;
 	/* A change of the schedule gives turns to other hosts: who had one just
 	 * before and who has one just after would be too many together. */
 	if (e->limit.schedule != f->schedule) {
+		e->limit.schedule_us = e->limit.schedule ? f->schedule_us
+							 : now_us;
 		e->limit.schedule = f->schedule;
-		e->limit.schedule_us = now_us;
-		e->limit.used_turn = e->limit.turn;
+		since_s = (double)(now_us - e->limit.schedule_us) / 1e6;
+		e->limit.used_turn = (int64_t)(turn - since_s * turns_per_s);
 	}
 	if (now_us - e->limit.schedule_us < UNSETTLED_US &&
 	    (e->limit.turn + f->rank) % 2)
@@ -175,7 +178,8 @@
  * Returns the offset by which turns go. A step of the clock is followed only after
  * it has lasted, since the clocks of other hosts did not step.
  */
-static int64_t settle_clock(struct fleet *f, int64_t wall_offset_us)
+static int64_t settle_clock(struct fleet *f, int64_t wall_offset_us,
+			    int64_t now_us)
 {
 	if (!f->wall_offset_us ||
 	    llabs(wall_offset_us - f->wall_offset_us) <= CLOCK_STEP_US) {
@@ -188,18 +192,21 @@
 	if (++f->clock_step_calls < CLOCK_STEP_CALLS)
 		return f->wall_offset_us;
 	f->schedule++;
+	f->schedule_us = now_us;
 	f->clock_step_calls = 0;
 	return wall_offset_us;
 }
 
 void fleet_set_rank(struct fleet *f, uint32_t rank, uint32_t ranks,
-		    int64_t wall_offset_us)
+		    int64_t wall_offset_us, int64_t now_us)
 {
-	if (rank != f->rank || ranks != f->ranks)
+	if (rank != f->rank || ranks != f->ranks) {
 		f->schedule++;
+		f->schedule_us = now_us;
+	}
 	f->rank = rank;
 	f->ranks = ranks;
-	f->wall_offset_us = settle_clock(f, wall_offset_us);
+	f->wall_offset_us = settle_clock(f, wall_offset_us, now_us);
 }
 
 /* A share begins anywhere below one request, so that the hosts' first ones do not
--- a/pkg/fleet/test/fleet_test.cc
+++ b/pkg/fleet/test/fleet_test.cc
@@ -269,7 +269,7 @@
 		fleet_init(&host[i], "d1", (uint64_t)i * 7919);
 		fleet_set_demand(&host[i], hosts, 0, 0);
 		fleet_set_rank(&host[i], i, hosts,
-			       123456789 + (i % 3 ? 0 : ahead_us));
+			       123456789 + (i % 3 ? 0 : ahead_us), 1);
 		snprintf(e.id, sizeof(e.id), "e");
 		snprintf(e.service, sizeof(e.service), "s");
 		e.stage = stage;
@@ -440,7 +440,7 @@
 
 		fleet_init(&host[i], "d1", (uint64_t)i * 104729);
 		fleet_set_demand(&host[i], 24, 0, 0);
-		fleet_set_rank(&host[i], i, 24, 0);
+		fleet_set_rank(&host[i], i, 24, 0, now_us);
 		snprintf(entry.id, sizeof(entry.id), "e");
 		snprintf(entry.service, sizeof(entry.service), "s");
 		entry.stage = FLEET_DECODE;
--- a/pkg/fleet/test/limit_test.cc
+++ b/pkg/fleet/test/limit_test.cc
@@ -111,7 +111,7 @@
 			known += knows(h, o, t);
 		}
 		fleet_set_rank(&h.fleet, rank, known,
-			       1700000000 * S + h.clock_us);
+			       1700000000 * S + h.clock_us, t);
 		fleet_set_demand(&h.fleet, known, waits ? 100 : 0,
 				 100 * (waits + others));
 		fleet_record_limit(&h.fleet, TAILQ_FIRST(&h.fleet.list),
@@ -225,3 +225,36 @@
 						<< names[fault] << ", " << n;
 				}
 }
+
+/*
+ * Guards against a host with few requests that gets no turn: it lost its present one
+ * if the known hosts had changed at any time since its last request.
+ */
+TEST(Limit, ATurnThatBeganAfterAChangeCountsWithoutAnEarlierRequest)
+{
+	struct fleet f[2];
+	struct fleet_query q = {};
+	enum fleet_result result;
+	int64_t t = S;
+
+	q.service = "s";
+	for (struct fleet &h : f) {
+		struct fleet_entry e = {};
+
+		fleet_init(&h, "d", 1);
+		snprintf(e.id, sizeof(e.id), "e");
+		snprintf(e.service, sizeof(e.service), "s");
+		fleet_set_demand(&h, 30, 0, 0);
+		fleet_set_rank(&h, 3, 30, 1700000000 * S, t);
+		fleet_record_limit(&h, fleet_upsert(&h, &e, 1, t), 3000, t);
+		fleet_choose(&h, &q, t, &result);
+		fleet_set_rank(&h, 7, 30, 1700000000 * S, t + S);
+	}
+	for (t += S; t < 60 * S && !fleet_choose(&f[0], &q, t, &result);)
+		t += STEP_US;
+	EXPECT_GT(t, 3 * S);
+	EXPECT_LT(t, 60 * S);
+	EXPECT_NE(fleet_choose(&f[1], &q, t, &result), nullptr);
+	for (struct fleet &h : f)
+		fleet_finish(&h);
+}
