gateway: no hedge and no time in a rollout that begins during a call

Cause: hedge_watch() starts no hedge during a rollout, but the order can arrive before the timer runs out. The hedge was sent then, and the time of the first attempt's response was recorded from when the hedge was sent. Likewise a call that was sent before the order, and whose time-out looked for another endpoint after it, was recorded as having taken the whole time since the machine started: its send is not known to the rollout.

Change: the timer of a hedge checks for a rollout, and an attempt that was sent before the order is not counted.

Result: by reading; there is no test of it.

--- a/cmd/figbend/gateway/hedge.c
+++ b/cmd/figbend/gateway/hedge.c
@@ -433,6 +433,11 @@
 		return;
 	}
 	e = choose(r);
+	/* A rollout may have begun since hedge_watch(). */
+	if (r->rollout.of) {
+		release(r);
+		return;
+	}
 	decision = decide(r, e);
 	/* What is taken from the share is lost if the retry is denied. */
 	if (decision == HEDGE_SEND && !req_consume_retry(r))
--- a/cmd/figbend/gateway/rollouts_req.c
+++ b/cmd/figbend/gateway/rollouts_req.c
@@ -125,6 +125,8 @@
 		ro->of = of;
 		/* Until its side is chosen, an earlier attempt was at any. */
 		ro->generation = of ? of->generation - 1 : 0;
+		/* When that was sent is not known here. */
+		ro->counted = r->endpoint != NULL;
 	}
 	if (!of) {
 		if (g->rollouts.held_until_us)
