gateway: the time-out of an attempt counts from its send after a hedge

Cause: a hedge stops the time-out of the first attempt. When the hedge had failed, the time-out began anew, and only if twice its length was left until the deadline. A first attempt at an endpoint that does not respond then had no time-out: the caller got 504, where without hedging the call is retried.

Change: the time-out and the time left are counted from the send of the attempt that goes on.

--- a/cmd/figbend/gateway/plain.c
+++ b/cmd/figbend/gateway/plain.c
@@ -178,13 +178,17 @@
 	return ATTEMPT_TIMEOUT_TARGETS * 1000LL * r->route->target_latency_ms;
 }
 
-/* See req.h. A time-out helps only if a retry is allowed and has as much time. */
+/* See req.h. A time-out helps only if a retry is allowed and has as much time. It
+ * counts from when the attempt was sent, also after the end of a hedge. */
 void plain_start_timeout(struct req *r)
 {
+	int64_t ran_us = gateway_now_us(r->g) - r->sent_us,
+		after_us = attempt_timeout_us(r) - ran_us;
+
 	if (r->route->kind == CALL_IDEMPOTENT &&
 	    r->executions + 1 < r->route->attempts_max &&
-	    req_remaining_us(r) > 2 * attempt_timeout_us(r))
-		req_set_step_timer(r, attempt_timeout_us(r));
+	    req_remaining_us(r) + ran_us > 2 * attempt_timeout_us(r))
+		req_set_step_timer(r, after_us > 0 ? after_us : 1);
 }
 
 void plain_advance(struct req *r)
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -2735,6 +2735,17 @@
     assert log.count("end=second_failed") == 3, log.count("end=second_failed")
 
 
+async def test_a_silent_attempt_times_out_after_its_hedge_failed(d):
+    """Guards against a first attempt without a time-out once its hedge has failed."""
+    d.routes[[r["Name"] for r in d.routes].index("idempotent")]["MaxAttempts"] = 3
+    await start_hedging(d, domains=("a", "b", "a"))
+    set_faults(d, "hang", "reset")
+    # The time-out is 1.5 s, and a retry needs as much.
+    rid, r = await d.request("idempotent", deadline_ms=3050)
+    assert (r.status, r.body) == (200, f"answer to {rid}".encode())
+    assert "end=second_failed" in d.hosts[0].log()
+
+
 async def test_a_hedge_goes_on_when_the_first_attempt_fails(d):
     """Guards against a hedge that ends with the first attempt."""
     await start_hedging(d)
