dircheck: check a platform's configuration and list what it changes

A mistake in a configuration was seen only after operators had written it to the store, and a host reported only the first error of a document.

--- a/Makefile
+++ b/Makefile
@@ -55,7 +55,7 @@
 
 fuzz: deps
 	@CC=clang CXX=clang++ cmake -S . -B $(FUZZ) -DCMAKE_BUILD_TYPE=Debug -DFIGBEND_FUZZ=ON >/dev/null
-	@cmake --build $(FUZZ) -j $(JOBS) --target fuzz_wire fuzz_config fuzz_settings fuzz_member fuzz_http fuzz_adapter fuzz_endpoint -- --no-print-directory
+	@cmake --build $(FUZZ) -j $(JOBS) --target fuzz_wire fuzz_config fuzz_settings fuzz_member fuzz_http fuzz_adapter fuzz_endpoint fuzz_dircheck -- --no-print-directory
 	@fuzz/run $(FUZZ) $(FUZZ_RUNS)
 
 format:
--- a/cmd/figbend/main.c
+++ b/cmd/figbend/main.c
@@ -10,6 +10,7 @@
 #include "daemon.h"
 #include "gateway.h"
 #include "logline.h"
+#include "pools_check.h"
 
 #define EXIT_OK 0
 #define EXIT_RUN_FAILED 1
@@ -19,6 +20,8 @@
 	struct arg_lit *help;
 	struct arg_lit *check;
 	struct arg_lit *pools;
+	struct arg_file *pools_check;
+	struct arg_file *against;
 	struct arg_file *settings;
 	struct arg_end *end;
 };
@@ -143,6 +146,15 @@
 {
 	static struct settings s;
 
+	if (o->pools_check->count)
+		return pools_check(o->pools_check->filename[0],
+				   o->against->count ? o->against->filename[0]
+						     : NULL,
+				   stdout);
+	if (o->against->count) {
+		fprintf(stderr, "figbend: --against needs --pools-check\n");
+		return EXIT_USAGE;
+	}
 	if (o->pools->count)
 		return run_pools(o);
 	if (!o->settings->count) {
@@ -168,11 +180,18 @@
 		.pools = arg_lit0(NULL, "pools",
 				  "serve a platform's pools; SETTINGS is "
 				  "$FIGBEND_SETTINGS if not given"),
+		.pools_check = arg_file0(NULL, "pools-check", "FILE",
+					 "check a platform's configuration "
+					 "and exit"),
+		.against = arg_file0(NULL, "against", "FILE",
+				     "list what changes from this one, with "
+				     "--pools-check"),
 		.settings = arg_file0(NULL, NULL, "SETTINGS",
 				      "settings file, JSON with comments"),
 		.end = arg_end(8),
 	};
-	void *table[] = {o.help, o.check, o.pools, o.settings, o.end};
+	void *table[] = {o.help,    o.check,	o.pools, o.pools_check,
+			 o.against, o.settings, o.end};
 	int errors = arg_parse(argc, argv, table);
 	int r = EXIT_USAGE;
 
