--- a/cmd/figbend/pools_check.c
+++ b/cmd/figbend/pools_check.c
@@ -7,6 +7,7 @@
 #include "adapter.h"
 #include "dircheck.h"
 #include "jread.h"
+#include "store_fetch.h"
 
 #define CHECK_CLEAN 0
 #define CHECK_FINDINGS 1
@@ -14,6 +15,7 @@
 /* 1,400 routes take about 0.5 MB; the checks take quadratic time. */
 #define FILE_MAX_BYTES ((size_t)4 * 1024 * 1024)
 #define FINDINGS_MAX 10000
+#define STORE_PREFIX "store:"
 
 static const char *const severities[] = {
 	[DIRCHECK_ERROR] = "error",
@@ -45,6 +47,24 @@
 	return NULL;
 }
 
+/* Reads a file or a store's record, as read_file() does. */
+static char *read_source(const char *path, size_t *n)
+{
+	size_t prefix = strlen(STORE_PREFIX);
+	char *text = NULL;
+	int r;
+
+	if (strncmp(path, STORE_PREFIX, prefix) != 0)
+		return read_file(path, n);
+	r = store_fetch_config(path + prefix, &text, n);
+	if (r == 0 && *n <= FILE_MAX_BYTES)
+		return text;
+	free(text);
+	fprintf(stderr, "figbend: cannot read %s: %s\n", path,
+		strerror(r ? -r : EFBIG));
+	return NULL;
+}
+
 /* Prints a text on one line: other bytes than ASCII text become '?'. */
 static void print_text(FILE *out, const char *s)
 {
@@ -91,7 +111,7 @@
 	size_t n;
 
 	*invalid = false;
-	text = read_file(path, &n);
+	text = read_source(path, &n);
 	if (!text)
 		return NULL;
 	jread_errors_init(&errors);
