--- a/pkg/rollout/rollout.c
+++ b/pkg/rollout/rollout.c
@@ -230,6 +230,10 @@
 
 	memset(out, 0, sizeof(*out));
 	r->view = *view;
+	if (view->present_running)
+		r->idle_us = 0;
+	else if (!r->idle_us)
+		r->idle_us = now_us;
 	if (r->stage == ROLLOUT_NONE)
 		return;
 	evidence_tick(r, now_us);
--- a/pkg/rollout/test/rollout_test.cc
+++ b/pkg/rollout/test/rollout_test.cc
@@ -311,6 +311,20 @@
 	EXPECT_EQ(h.run(300 * kMs), ROLLOUT_COMPLETED);
 }
 
+/* Guards against an end at a moment without a request while hosts still fall back. */
+TEST(Rollout, AMomentWithoutRequestsAtTheOldOnesIsNotTheEnd)
+{
+	Host h;
+
+	h.order();
+	h.good_evidence();
+	EXPECT_EQ(h.run(10300 * kMs), ROLLOUT_SHIFT);
+	h.view.present_running = 0;
+	EXPECT_NE(h.run(200 * kMs), ROLLOUT_COMPLETED);
+	h.view.present_running = 1;
+	EXPECT_NE(h.run(100 * kMs), ROLLOUT_COMPLETED);
+}
+
 TEST(Rollout, WithoutTheStoreTheStageStaysAndABadVersionGetsNothing)
 {
 	Host good, bad;
