fleet: no second pass over the endpoints for requests that wait for decode memory

Cause: by reading, each choice of a decode endpoint went over all endpoints once more for the mean time of a call, which is used for plain calls and prefills only; such requests choose several times in 20 ms while they wait. Change: return at once for decode endpoints. The choices are the same.

--- a/pkg/fleet/choose.c
+++ b/pkg/fleet/choose.c
@@ -259,6 +259,9 @@
 	uint32_t n = 0;
 
 	*any = false;
+	/* Requests that wait for decode memory choose many times a second. */
+	if (q->stage == FLEET_DECODE)
+		return 0;
 	TAILQ_FOREACH(e, &f->list, link)
 	{
 		if (!matches(q, e) || !has_completion(q, e))
