pools_test: hedges are counted by request

Change: the tests look at the hedges of their own requests, and at what was added since the warm-up; each of the calls under test must still have its one hedge, won by the second attempt.

--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -2686,6 +2686,14 @@
             for line in text.splitlines() if line.split()[0].endswith("_total")}
 
 
+def hedges_of(d, rids, end=""):
+    """Counts the hedges of these requests that ended so; calls that warm the hosts up may
+    be hedged, too, on a busy machine."""
+    log = d.hosts[0].log()
+    return sum(f"event=hedge request={rid} " in line and end in line
+               for line in log.splitlines() for rid in rids)
+
+
 async def check_nothing_runs(d, host=0):
     """Guards against what a canceled attempt leaves counted at its endpoint."""
     view = (await metrics_page(d, b"/endpoints", host)).splitlines()
@@ -2696,10 +2704,13 @@
 async def test_hedges_a_slow_call(d):
     """Guards against a hedge that comes late, answers twice, or leaves a load."""
     await start_hedging(d)
+    slow = []
     for loser in ("slow", "hang"):
+        await refill_share(d)
         set_faults(d, loser)
         start = time.monotonic()
         rid, r = await d.request("idempotent")
+        slow.append(rid)
         assert (r.status, r.body) == (200, f"answer to {rid}".encode())
         assert time.monotonic() - start < 0.4
         left_ms = {m[4]: int(m[1]["deadline-ms"]) for e in d.endpoints
@@ -2710,23 +2721,29 @@
             rid, r = await d.request("idempotent")
             assert r.body == f"answer to {rid}".encode()
     c = await counters(d)
-    assert (c["hedges"], c["hedges_won"]) == (2, 2), c
-    assert c["hedge_loser_ms"] < 1000 and c["sends_again"] == 2
-    log = d.hosts[0].log()
-    assert log.count("end=second_won") == 2 and "loser_ran_ms=" in log
+    assert c["hedges"] == c["sends_again"] >= 2 and c["hedges_won"] >= 2, c
+    assert c["hedge_loser_ms"] < 1000
+    assert [hedges_of(d, [rid], "end=second_won") for rid in slow] == [1, 1]
+    assert hedges_of(d, slow) == hedges_of(d, slow, "loser_ran_ms=") == 2
     await check_nothing_runs(d)
 
 
 async def test_hedged_calls_get_no_crossed_answer(d):
     """Guards against an answer to another request, or one that was canceled."""
     await start_hedging(d)
+    slow = []
     for faults in (("slow", "wrong_id"), ("slow", "extra_response"),
                    ("hang", "wrong_id")):
+        await refill_share(d)
         set_faults(d, *faults)
-        for _ in range(12):
+        rid, r = await d.request("idempotent")
+        assert (r.status, r.body) == (200, f"answer to {rid}".encode())
+        slow.append(rid)
+        for _ in range(11):
             rid, r = await d.request("idempotent")
             assert (r.status, r.body) == (200, f"answer to {rid}".encode())
-    assert (await counters(d))["hedges_won"] == 3
+    assert (await counters(d))["hedges_won"] >= 3
+    assert [hedges_of(d, [rid], "end=second_won") for rid in slow] == [1] * 3
 
 
 async def test_a_failed_attempt_leaves_the_other_one(d):
@@ -2835,6 +2852,7 @@
     calls near their deadline, and with a limit or a full service."""
     d.routes.append(d.route("once", "idempotent", "plain", attempts=1))
     await start_hedging(d)
+    before = (await counters(d))["hedges"]
     for route, more in (("non_idempotent", {}), ("once", {}),
                         ("idempotent", {"deadline_ms": 50})):
         for _ in range(0 if more else 25):
@@ -2846,7 +2864,7 @@
         assert sum(m[0] == rid for e in d.endpoints for m in e.received) < 2
         set_faults(d)
     c = await counters(d)
-    assert (c["hedges"], c["hedges_denied_deadline"]) == (0, 1), c
+    assert (c["hedges"], c["hedges_denied_deadline"]) == (before, 1), c
     for e in d.endpoints:
         e.limit = 1000
     await d.request("idempotent")
@@ -2855,7 +2873,7 @@
     rid, r = await d.request("idempotent")
     assert r.status == 200 and executions(d, rid) == 1
     c = await counters(d)
-    assert (c["hedges"], c["hedges_denied_limited"]) == (0, 1), c
+    assert (c["hedges"], c["hedges_denied_limited"]) == (before, 1), c
 
 
 async def test_without_a_share_nothing_is_hedged(d):
