review: cases 6 and 7, engines that leave say so in all their answers

Case 6 shows CONFIG instead of DRAIN: requests are run by the old service and with a key that was taken away.

--- a/review/6/run.py
+++ b/review/6/run.py
@@ -14,12 +14,11 @@
 CLIENTS = 6
 INTERVAL_S = 0.1
 AFTER_S = 5.0
-DRAIN_S = BOUNDS["DrainTimeoutMs"] / 1000
 CONFIG_S = BOUNDS["ConfigApplyMs"] / 1000
-LINGER_S = 0.4  # an engine that leaves goes on for a little longer, then exits
+KEPT_KEY, DROPPED_KEY = "k9m68k7b2ex5wa5xwyhk", "banfqasnmgkcuyj8pjbv"
 
 
-def config(service):
+def config(service, keys):
     """The route of the look-ups leads to the service."""
 
     def route(name, kind, service, attempts):
@@ -38,20 +37,19 @@
             "Services": [declare("registry"), declare("registry2")],
             "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304,
                        "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
-            "Tenants": [{"Name": "huka270", "ApiKeys": ["k9m68k7b2ex5wa5xwyhk"],
-                         "Unit": "tokens", "UncachedTokens": 200,
-                         "RatePerS": 0, "Burst": 0}]}
+            "Tenants": [{"Name": "huka270", "ApiKeys": keys, "Unit": "tokens",
+                         "UncachedTokens": 200, "RatePerS": 0, "Burst": 0}]}
 
 
-async def client(d, machine, path, method, done, stop):
+async def client(d, machine, path, method, key, done, stop):
     c = Connection(machine)
     while not stop.is_set():
-        rid, raw = d.request(path, key="k9m68k7b2ex5wa5xwyhk", method=method)
+        rid, raw = d.request(path, key=key, method=method)
         sent = now()
-        d.record.write(f"sent {rid} {path} to {machine.name}")
+        d.record.write(f"sent {rid} {path} key {key} to {machine.name}")
         status, _, body = await c.request(raw)
         d.record.write(f"answered {rid} {status} {body.decode()}")
-        done[rid] = (sent, path, status, body)
+        done[rid] = (sent, path, key, status, body)
         await asyncio.sleep(INTERVAL_S)
     c.close()
 
@@ -64,7 +62,7 @@
     d.add_engine("registry2", "opole-a")
     done, stop, tasks = {}, asyncio.Event(), []
     try:
-        await d.start(config("registry"))
+        await d.start(config("registry", [KEPT_KEY, DROPPED_KEY]))
         tasks.append(asyncio.ensure_future(d.heartbeats()))
         await asyncio.sleep(CALM_S)
         # The store sees who reads its list of engines.
@@ -74,8 +72,8 @@
             raise CannotRun(f"{len(quiet)} machines do not read the store")
         left = quiet[0]
         tasks += [asyncio.ensure_future(client(
-            d, left, *(("/signoff/1", "POST") if i % 2 else
-                       ("/lookup/1", "GET")), done, stop))
+            d, left, *(("/signoff/1", "POST", DROPPED_KEY) if i % 2 else
+                       ("/lookup/1", "GET", KEPT_KEY)), done, stop))
             for i in range(CLIENTS)]
         await asyncio.sleep(2)
         if TROUBLE:
@@ -84,41 +82,27 @@
                     record.write(f"kills {m.name}")
                     m.signal(signal.SIGKILL)
         await asyncio.sleep(0.02)
-        leaving = d.engines[0]
-        leaving.leaves = True
-        drain_s = d.put_entry(leaving, "draining")
-        record.say(f"{drain_s:.3f} s: {leaving.name} is draining, acknowledged "
-                   "by the store")
-        config_s = d.put_config(config("registry2"))
-        record.say(f"{config_s:.3f} s: version {d.version} moves the look-ups, "
-                   "acknowledged by the store")
-        await asyncio.sleep(DRAIN_S + LINGER_S)
-        running = {rid for _, rid in leaving.runs
-                   if rid not in leaving.answered}
-        record.say(f"{now():.3f} s: {leaving.name} exits")
-        await leaving.stop(reset=True)
-        await asyncio.sleep(AFTER_S - DRAIN_S - LINGER_S)
+        ack_s = d.put_config(config("registry2", [KEPT_KEY]))
+        record.say(f"{ack_s:.3f} s: version {d.version} moves the look-ups to "
+                   "another service and drops a key, acknowledged by the store")
+        await asyncio.sleep(AFTER_S)
         stop.set()
         await asyncio.sleep(2)
-        late = [(t, rid) for t, rid, _ in leaving.arrivals
-                if t > drain_s + DRAIN_S]
-        old = [rid for rid, (sent, path, status, body) in done.items()
-               if path.startswith("/lookup") and status == 200 and
-               sent > config_s + CONFIG_S and
+        late = [(sent - ack_s, path, key, body)
+                for sent, path, key, status, body in done.values()
+                if status == 200 and sent > ack_s + CONFIG_S]
+        old = [t for t, path, _, body in late if path.startswith("/lookup") and
                body.startswith(b"registry answers")]
-        lost = [rid for _, rid in late
-                if rid in running and done[rid][2] != 200]
-        record.say(f"DRAIN: {len(late)} requests reached {leaving.name} later "
-                   f"than {DRAIN_S:.0f} s after the acknowledgement" +
-                   (f", the last one {late[-1][0] - drain_s:.3f} s after it"
-                    if late else ""))
-        record.say(f"  {len(lost)} of them were running when it exited and are "
-                   "lost")
-        record.say(f"CONFIG: {len(old)} requests sent later than {CONFIG_S:.0f} "
-                   "s after the acknowledgement were run by the old service")
+        dropped = [t for t, _, key, _ in late if key == DROPPED_KEY]
+        for name, times in (("by the old service", old),
+                            ("with the dropped key", dropped)):
+            record.say(f"CONFIG: {len(times)} requests sent later than "
+                       f"{CONFIG_S:.0f} s after the acknowledgement were run "
+                       f"{name}" + (f", the last one sent {max(times):.3f} s "
+                                    "after it" if times else ""))
         if len(done) < 50:
             raise CannotRun("too few requests were answered")
-        return bool(late)
+        return bool(old or dropped)
     finally:
         for t in tasks:
             t.cancel()
--- a/review/standins2.py
+++ b/review/standins2.py
@@ -220,16 +220,25 @@
         self.record, self.slots, self.work_s = record, slots, work_s
         self.born, self.sequence = int(time.time() * 1000), 0
         self.running = 0
+        self.leaves = False  # said in its entries and in all its answers
         self.arrivals = []  # (time, id, path)
         self.runs = []  # (time, id)
         self.answered = []  # ids
 
-    def entry(self, state="ready"):
+    def entry(self):
         self.sequence += 1
         return {"Service": self.service, "Address": self.addr,
                 "Zone": self.zone, "Version": "v1", "Slots": self.slots,
-                "State": state, "ColdRemainingMs": 0,
-                "Sequence": self.sequence, "born": self.born}
+                "State": "draining" if self.leaves else "ready",
+                "ColdRemainingMs": 0, "Sequence": self.sequence,
+                "born": self.born}
+
+    def answer(self, status, rid, body=b"", **more):
+        fields = {"Attempt-Id": rid, **more,
+                  "Instance-Load": f"{self.running},0,{self.slots}"}
+        if self.leaves:
+            fields["Server-Leaving"] = "1"
+        return message(f"HTTP/1.1 {status}", fields, body)
 
     async def handle(self, reader, writer, first, headers, body):
         rid = headers.get("attempt-id", "")
@@ -237,16 +246,11 @@
             writer.write(message("HTTP/1.1 421 Misdirected Request",
                                  {"Instance-Id": self.name}))
             return
-        if first.split(" ")[1] == "/health":
-            writer.write(message("HTTP/1.1 200 OK", {"Instance-Id": self.name}))
-            return
         self.arrivals.append((now(), rid, first.split(" ")[1]))
         self.record.write(f"reaches {self.name} {self.service} {rid}")
-        load = f"{self.running},0,{self.slots}"
         if self.running >= self.slots:
-            writer.write(message("HTTP/1.1 503 Service Unavailable", {
-                "Not-Executed": "1", "Attempt-Id": rid,
-                "Instance-Load": load}))
+            writer.write(self.answer("503 Service Unavailable", rid,
+                                     **{"Not-Executed": "1"}))
             return
         self.runs.append((now(), rid))
         self.running += 1
@@ -258,9 +262,9 @@
             self.record.write(f"cut off at {self.name} {rid}")
             return False
         self.answered.append(rid)
-        writer.write(message("HTTP/1.1 200 OK", {
-            "Attempt-Id": rid, "Instance-Signature": f"{self.name}.{rid}",
-            "Instance-Load": load}, f"{self.service} answers {rid}".encode()))
+        writer.write(self.answer(
+            "200 OK", rid, f"{self.service} answers {rid}".encode(),
+            **{"Instance-Signature": f"{self.name}.{rid}"}))
 
 
 def render(template, fields):
@@ -448,9 +452,9 @@
         self.topics.append(topic, key, json.dumps(value).encode())
         return now()
 
-    def put_entry(self, engine, state="ready"):
+    def put_entry(self, engine):
         """Returns when the store acknowledged the entry."""
-        return self.put("keyed.servers", engine.name, engine.entry(state))
+        return self.put("keyed.servers", engine.name, engine.entry())
 
     def put_config(self, config):
         self.version += random.randint(1, 3)
@@ -472,13 +476,12 @@
             await asyncio.sleep(0.1)
 
     async def heartbeats(self, interval_s=1.2):
-        """Entries are written again, as living engines do."""
-        states = {}
+        """All engines that live write their entries again and again."""
         while True:
             await asyncio.sleep(interval_s)
             for e in self.engines:
-                if e.server and not getattr(e, "leaves", False):
-                    self.put_entry(e, states.get(e, "ready"))
+                if e.server:
+                    self.put_entry(e)
 
     def request(self, path, deadline_ms=1500, key=None, body=b"", method="POST",
                 fields=None):
