--- a/review/standins2.py
+++ b/review/standins2.py
@@ -267,6 +267,86 @@
             **{"Instance-Signature": f"{self.name}.{rid}"}))
 
 
+class ModelEngine(Engine):
+    """A prefill or decode engine. A decode engine streams an event each
+    interval_s; one that is full takes no requests."""
+
+    EVENT_TOKENS = 8
+
+    def __init__(self, ip, name, service, zone, record, stage, slots=64,
+                 interval_s=0.05):
+        super().__init__(ip, name, service, zone, record, slots)
+        self.stage, self.interval_s = stage, interval_s
+        self.full = False
+        self.limit = None  # Server-Limit, in all answers
+        self.preempted = {}  # id of a stream: when it goes on
+        self.handles = {}
+
+    def entry(self):
+        return {**super().entry(), "Stage": self.stage,
+                "Models": [{"Name": "m", "Version": 1, "Adapters": []}]}
+
+    def answer(self, status, rid, body=b"", **more):
+        if self.limit:
+            more["Server-Limit"] = str(self.limit)
+        return super().answer(status, rid, body, **more)
+
+    async def handle(self, reader, writer, first, headers, body):
+        path, rid = first.split(" ")[1], headers.get("attempt-id", "")
+        if headers.get("expected-instance", self.name) != self.name:
+            writer.write(message("HTTP/1.1 421 Misdirected Request",
+                                 {"Instance-Id": self.name}))
+            return
+        if path.startswith("/figbend/kv-handle/") or \
+                path.startswith("/figbend/hold-drop/"):
+            writer.write(message("HTTP/1.1 200 OK", {}))
+            return
+        self.arrivals.append((now(), rid, path))
+        self.record.write(f"reaches {self.name} {self.stage} {path} {rid}")
+        if self.full:
+            writer.write(self.answer("503 Service Unavailable", rid,
+                                     **{"Not-Executed": "1"}))
+        elif path == "/figbend/hold-take":
+            writer.write(message("HTTP/1.1 200 OK", {
+                **({"Server-Limit": str(self.limit)} if self.limit else {})},
+                json.dumps({"Hold": f"{random.getrandbits(64):016x}"}).encode()))
+        elif headers.get("serving-stage") == "prefill":
+            await asyncio.sleep(0.1)
+            handle = f"{random.getrandbits(48):012x}"
+            writer.write(self.answer("200 OK", rid, json.dumps(
+                {"KvHandle": handle, "TokenCount": 1, "Version": 1}).encode()))
+        else:
+            return await self.stream(reader, writer, headers, rid)
+
+    async def stream(self, reader, writer, headers, rid):
+        self.runs.append((now(), rid))
+        self.record.write(f"runs at {self.name} {rid}")
+        tokens = int(headers["token-usage"].split(",")[1])
+        head = self.answer("200 OK", rid, **{
+            "Instance-Signature": f"{self.name}.{rid}",
+            "Content-Type": "text/event-stream"})
+        writer.write(head.replace(b"Content-Length: 0",
+                                  b"Transfer-Encoding: chunked"))
+        gone = asyncio.ensure_future(reader.read(1))
+        try:
+            for i in range(int(headers.get("last-event-id", 0)) + 1,
+                           max(1, tokens // self.EVENT_TOKENS) + 1):
+                await asyncio.sleep(self.interval_s)
+                while now() < self.preempted.get(rid, 0) and \
+                        not gone.done():
+                    await asyncio.sleep(0.02)
+                if gone.done() or writer.transport.is_closing():
+                    self.record.write(f"left by its caller at {self.name} {rid}")
+                    return False
+                event = f"id: {i}\ndata: {rid} {i}\n\n".encode()
+                writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            writer.write(b"0\r\n\r\n")
+            self.answered.append(rid)
+        finally:
+            gone.cancel()
+        return False  # the read above may have taken a byte of the next request
+
+
 def render(template, fields):
     """Fills in the deploy file's template of the settings, as DEPLOY.md says."""
 
@@ -441,10 +521,10 @@
                 return net
         raise CannotRun("no free loopback addresses")
 
-    def add_engine(self, service, zone, **more):
+    def add_engine(self, service, zone, kind=Engine, **more):
         k = len(self.engines)
-        e = Engine(f"{self.net}.{100 + k}", f"i-{k:010x}", service, zone,
-                   self.record, **more)
+        e = kind(f"{self.net}.{100 + k}", f"i-{k:010x}", service, zone,
+                 self.record, **more)
         self.engines.append(e)
         return e
 
