uneven_test: draw random numbers in a stated order

On arm64 it passed.

Cause: two calls drew random numbers in their arguments, whose order of evaluation C++ leaves open; GCC takes them from the right on x86-64 and from the left on arm64. Evidence: drawn one by one, from the left, they give the expected hash on x86-64. Ruled out: rounding, as nothing else was changed. The check and its value stay.

--- a/pkg/fleet/test/uneven_test.cc
+++ b/pkg/fleet/test/uneven_test.cc
@@ -196,10 +196,14 @@
 		e->peer_running = random() % 12;
 		e->peer_kv_tokens = random() % 50000;
 		e->peer_prefill_tokens = random() % 20000;
-		fleet_record_load(e, random() % 6, random() % 3, now_us);
-		fleet_record_outcome(
-			e, random() % 20 ? FLEET_SUCCESS : FLEET_FAILED,
-			random() % 200000, now_us);
+		/* The order of calls in arguments differs between machines. */
+		uint32_t running = random() % 6, waiting = random() % 3;
+		enum fleet_outcome outcome = random() % 20 ? FLEET_SUCCESS
+							   : FLEET_FAILED;
+		int64_t took_us = random() % 200000;
+
+		fleet_record_load(e, running, waiting, now_us);
+		fleet_record_outcome(e, outcome, took_us, now_us);
 	}
 	fleet_finish(&f);
 	return hash;
