freshness: bound the age of what a host knows of the store

Cause, from a trial with a line for each decision on who reads: the host counts on the readers until their last message is 2.0 s old, looks every 0.4 s (2.3 s) and waits for a turn of 0.43 s; in force after 2.70 s. The turn grows with the known hosts, dead ones included (12 s with 50 in a domain). "I read the store" proves nothing of what comes next: frozen readers, and readers with dead connections, had the same effect. Ruled out: the read itself (30 ms from its start to the effect).

Change: hosts tell each other as of when they know the store to have no further records, as an age; the newest one is passed on. A host whose age reaches the bound (config_apply_ms, drain_timeout_ms) less the time to read turns to the store; readers that learn of nothing newer ask again. The sum stands in freshness.h. The first reader polls every 0.5 s, the others for up to 28 s. Turns after a failed read count living hosts.

--- a/cmd/figbend/gateway/gateway.c
+++ b/cmd/figbend/gateway/gateway.c
@@ -45,6 +45,11 @@
 	return gateway_clock_us();
 }
 
+int64_t gateway_input_us(const struct gateway *g)
+{
+	return g->input_us;
+}
+
 /* Linear congruential generator; its high 31 bits are the most random. */
 uint64_t gateway_random(struct gateway *g)
 {
@@ -52,6 +57,11 @@
 	return g->random >> 33;
 }
 
+double gateway_random_fraction(struct gateway *g)
+{
+	return (double)(gateway_random(g) % 1000000) / 1e6;
+}
+
 /* The readiness probe's result: true if callers should connect to this host. */
 bool gateway_is_ready(const struct gateway *g)
 {
@@ -189,10 +199,13 @@
 		check_stop(g, now_us);
 }
 
-/* Writes the buffered log lines before the loop waits for events. */
-static void on_log_flush(struct ev_loop *loop, ev_prepare *w, int events)
+/* Called before the loop waits for events. */
+static void on_prepare(struct ev_loop *loop, ev_prepare *w, int events)
 {
+	struct gateway *g = w->data;
+
 	logline_flush();
+	g->input_us = gateway_now_us(g);
 }
 
 static int listen_at(struct gateway *g, struct h1_server *s, const char *text,
@@ -224,13 +237,13 @@
 	ev_signal_init(&g->on_term, on_term, SIGTERM);
 	ev_signal_init(&g->on_hup, on_hup, SIGHUP);
 	ev_timer_init(&g->sweep, on_sweep, SWEEP_INTERVAL_S, SWEEP_INTERVAL_S);
-	ev_prepare_init(&g->log_flush, on_log_flush);
+	ev_prepare_init(&g->prepare, on_prepare);
 	g->on_term.data = g->on_hup.data = g;
-	g->sweep.data = g;
+	g->sweep.data = g->prepare.data = g;
 	ev_signal_start(g->loop, &g->on_term);
 	ev_signal_start(g->loop, &g->on_hup);
 	ev_timer_start(g->loop, &g->sweep);
-	ev_prepare_start(g->loop, &g->log_flush);
+	ev_prepare_start(g->loop, &g->prepare);
 }
 
 int gateway_init(struct gateway *g, const struct pool_settings *s)
--- a/cmd/figbend/gateway/gateway.h
+++ b/cmd/figbend/gateway/gateway.h
@@ -11,6 +11,7 @@
 #include "directory.h"
 #include "drain.h"
 #include "fleet.h"
+#include "freshness.h"
 #include "h1.h"
 #include "hedge.h"
 #include "peer.h"
@@ -71,6 +72,8 @@
 	int64_t last_ok_us;   /* last successful read; 0 if none */
 	int64_t recovered_us; /* first response after failures; 0 if none */
 	uint32_t failures;    /* consecutive */
+	int64_t answered_us; /* when the response may have arrived, at the earliest */
+	int64_t snapshot_us; /* the same of the first page of the snapshot */
 	int64_t turn_us; /* the next read is not before it, but for poll_now */
 	/* Passive, although no other host reads, until turn_us. */
 	bool awaits_turn;
@@ -85,7 +88,8 @@
 	/* Start of the process, since the epoch; later if other hosts know a later
 	 * one, see heartbeat.c. */
 	uint64_t boot_us;
-	uint64_t random; /* state of gateway_random */
+	uint64_t random;  /* state of gateway_random */
+	int64_t input_us; /* when the loop last began to wait for input */
 
 	/* gateway.c; heartbeat.c and req.c also write callers.draining,
 	 * store_apply.c also writes limits */
@@ -99,12 +103,13 @@
 	ev_signal on_term;
 	ev_signal on_hup;
 	ev_timer sweep;
-	ev_prepare log_flush;
+	ev_prepare prepare;
 	struct drain drain;
 
 	/* store_reader.c; heartbeat.c also writes records */
 	struct store_reader reader[ADAPTER_TOPICS];
 	struct records records[ADAPTER_TOPICS];
+	struct freshness freshness;  /* of operators' and endpoints' records */
 	struct directory *directory; /* NULL before the first one */
 	/* When a lower idle timeout of the directory holds; 0 if it does. */
 	int64_t idle_timeout_falls_us;
@@ -175,8 +180,15 @@
 int64_t gateway_clock_us(void);
 /* Returns the time on which decisions are based, that of gateway_clock_us(). */
 int64_t gateway_now_us(const struct gateway *g);
+/*
+ * Returns the earliest time at which the input that is being handled may have
+ * arrived: this process may have been stopped since the loop last looked for input.
+ */
+int64_t gateway_input_us(const struct gateway *g);
 /* Returns a pseudo-random number of 31 bits; not for secrets. */
 uint64_t gateway_random(struct gateway *g);
+/* The same as a number from 0 to 1. */
+double gateway_random_fraction(struct gateway *g);
 /* Returns true if this host should get new connections of callers. */
 bool gateway_is_ready(const struct gateway *g);
 /*
@@ -203,9 +215,22 @@
 			  uint64_t position);
 /* Called often: does what is due some time after the store's era changed. */
 void store_reader_settle(struct gateway *g);
+/* Sends the read in progress again, over a new connection. */
+void store_reader_reissue(struct store_reader *sr);
+/* Decides at once, and anew, whether this host reads the stream. */
+void store_reader_look(struct store_reader *sr);
 /* Reads the stream from the store at once, also if this host is passive. */
 void store_reader_poll(struct gateway *g, enum adapter_topic t);
 
+/* records_age.c: the age of what this host knows of the store's streams. */
+/*
+ * Called every FRESHNESS_CHECK_US: reads the store at once if what this host knows of
+ * the streams has become too old.
+ */
+void records_age_check(struct gateway *g);
+/* Takes over what another host said of the age of its knowledge. */
+void records_age_told(struct gateway *g, const struct relay_host *h);
+
 /* store_apply.c: records of the streams, put into effect. */
 /*
  * Puts a record of n bytes into effect if it is newer than the one known for
@@ -266,11 +291,8 @@
 void heartbeat_remove_peer(struct gateway *g, const char *key);
 /* Brings the loads of other hosts at all endpoints of the fleet up to date. */
 void heartbeat_update_loads(struct gateway *g);
-/*
- * Counts this host, and the others that read the streams themselves according to
- * a message of the last 2 s.
- */
-uint32_t heartbeat_count_readers(const struct gateway *g);
+/* Returns the place of this host among those that read the streams themselves. */
+uint32_t heartbeat_reader_rank(const struct gateway *g);
 /*
  * Returns true if enough other hosts of the domain read the store's streams, so
  * that this host need not.
--- a/cmd/figbend/gateway/heartbeat.c
+++ b/cmd/figbend/gateway/heartbeat.c
@@ -35,9 +35,9 @@
 }
 
 /* See gateway.h. */
-uint32_t heartbeat_count_readers(const struct gateway *g)
+uint32_t heartbeat_reader_rank(const struct gateway *g)
 {
-	return relay_count_readers(&g->relay, gateway_now_us(g));
+	return relay_reader_rank(&g->relay, gateway_now_us(g));
 }
 
 /* See gateway.h. */
@@ -137,6 +137,8 @@
 	self.n_own_totals = g->rollouts.n_counters;
 	for (t = 0; t < FIG_STREAMS; t++)
 		self.next_position[t] = g->records[t].next_position;
+	for (t = 0; t < FIG_TOPICS; t++)
+		self.as_of_us[t] = freshness_as_of_us(&g->freshness, t);
 	TAILQ_FOREACH(e, &g->fleet.list, link)
 	{
 		if ((!e->running && !e->prefill_tokens) ||
@@ -173,6 +175,7 @@
 static int fill_report(struct gateway *g, struct fig_share *s)
 {
 	uint32_t n_accounts = g->ratelimit.n_accounts;
+	int64_t as_of_us[FIG_TOPICS];
 	struct fleet_endpoint *e;
 	uint32_t i;
 
@@ -180,8 +183,10 @@
 	s->domain = (char *)g->settings->domain;
 	s->addr = (char *)g->settings->peer_addr;
 	s->following = own_reader_state(g);
-	for (i = 0; i < FIG_TOPICS; i++)
+	for (i = 0; i < FIG_TOPICS; i++) {
 		s->upto[i] = g->records[i].next_position;
+		as_of_us[i] = freshness_as_of_us(&g->freshness, (int)i);
+	}
 	s->hosts_upto = g->records[ADAPTER_HOSTS].next_position;
 	s->uptime_ms = (uint64_t)(gateway_now_us(g) - g->relay.start_us) / 1000;
 	s->waiting = g->n_waiting;
@@ -192,8 +197,12 @@
 		calloc(n_accounts + 1, sizeof(*s->refused.refused_val));
 	s->load.load_val =
 		calloc(g->fleet.n_endpoints + 1, sizeof(*s->load.load_val));
-	if (!s->spent.spent_val || !s->refused.refused_val || !s->load.load_val)
+	s->age_ms.age_ms_val = calloc(FIG_TOPICS, sizeof(u_int));
+	if (!s->spent.spent_val || !s->refused.refused_val ||
+	    !s->load.load_val || !s->age_ms.age_ms_val)
 		return -ENOMEM;
+	s->age_ms.age_ms_len = FIG_TOPICS;
+	relay_fill_ages(as_of_us, gateway_now_us(g), s->age_ms.age_ms_val);
 	for (i = 0; i < n_accounts; i++) {
 		struct ratelimit_account *a = &g->ratelimit.account[i];
 		struct fig_spent *row;
@@ -238,6 +247,7 @@
 	free(s->spent.spent_val);
 	free(s->refused.refused_val);
 	free(s->load.load_val);
+	free(s->age_ms.age_ms_val);
 }
 
 static void send_rows(struct gateway *g, const struct relay_send *send,
@@ -332,6 +342,7 @@
 	int64_t now_us = gateway_now_us(g);
 	struct relay_host *h = NULL;
 
+	relay_set_input_time(&g->relay, gateway_input_us(g));
 	switch (from->call.kind) {
 	case FIG_SUSPECTS:
 		crash_apply_report(g, &from->call.fig_call_u.suspects);
@@ -369,6 +380,8 @@
 	}
 	stats_add(&g->stats, STATS_PEER_MESSAGES, 1);
 	g->loads_changed = true;
+	if (h)
+		records_age_told(g, h);
 	if (h && h->addr[0])
 		record_fetch_if_behind(g, h);
 }
@@ -481,6 +494,7 @@
 	n = relay_tick(&g->relay, now_us, send);
 	g->loads_changed = true;
 	update_shares(g, now_us);
+	records_age_check(g);
 	log_mode(g);
 	update_domains(g, now_us);
 	for (i = 0; i < n; i++)
--- a/cmd/figbend/gateway/store_reader.c
+++ b/cmd/figbend/gateway/store_reader.c
@@ -12,9 +12,10 @@
  *
  * A dead connection looks like a stream without new records. Heartbeats
  * therefore carry the offsets that a host has reached: a host that lags finds
- * out as soon as any other host has a newer record. The polls of different
- * hosts end at different times, so the more hosts read, the longer a poll may
- * wait.
+ * out as soon as any other host has a newer record. They also carry as of when
+ * there were no further records: a host that learns of no newer response of the
+ * store reads again, whether it reads the store or leaves that to others
+ * (pkg/freshness).
  *
  * Two hosts of a domain read the streams. The others are passive: they fetch
  * records from peers, or read them from the store if a peer says that they are
@@ -23,12 +24,10 @@
  * before it, it leaves the rest to them.
  */
 
-/* The mean wait of a poll is this times the number of hosts that read. */
-#define POLL_WAIT_PER_READER_MS 500
-/* A single reader finds a dead connection only when its poll times out, so this
- * is a third of the 2 s within which a new configuration must be in force. */
-#define POLL_WAIT_MIN_MS 600
-#define POLL_WAIT_MEAN_MAX_MS 12000
+/* How long the store may hold a poll for records of hosts open, which are needed
+ * less urgently than the others. */
+#define HOSTS_WAIT_MIN_MS 600
+#define HOSTS_WAIT_MAX_MS 23400
 /* Time-out of a read after its wait, and between parts of the response. A slow
  * store responds within 0.4 s. */
 #define READ_TIMEOUT_S 0.8
@@ -45,6 +44,11 @@
 #define ENDPOINTS_PAUSE_S 0.2
 /* Time between checks whether a passive reader must read again. */
 #define PASSIVE_CHECK_S 0.4
+/* A host that turns to the store since its records are old reads the second stream
+ * after the first, but after this time at the latest, and the records of hosts if it
+ * still reads then. */
+#define SECOND_STREAM_US 100000LL
+#define HOSTS_STREAM_US 1000000LL
 /* Records that a peer has had for this time should have arrived here. */
 #define LAG_MAX_US 80000LL
 /* Pause after new records of hosts, which are needed less urgently: many hosts
@@ -155,9 +159,13 @@
 			  uint64_t position)
 {
 	struct store_reader *sr = &g->reader[t];
+	uint32_t i;
 
-	if (position > g->records[t].next_position)
+	if (position > g->records[t].next_position) {
 		g->records[t].next_position = position;
+		for (i = 0; i < g->relay.n_hosts; i++)
+			records_age_told(g, g->relay.host[i]);
+	}
 	if ((int64_t)record_era(position) > sr->present_era)
 		enter_era(sr, record_era(position));
 }
@@ -198,34 +206,48 @@
 	records_snapshot_start(&sr->g->records[sr->topic], RECORDS_STORE);
 }
 
+/* Returns true if the age of the stream's records is bounded. */
+static bool is_bounded(const struct store_reader *sr)
+{
+	return sr->topic < FRESHNESS_STREAMS;
+}
+
+/* Returns true if this host reads since its records are old, and other hosts do not
+ * hear of it: a member reports to delegates only. */
+static bool asks(const struct store_reader *sr)
+{
+	return is_bounded(sr) && sr->g->freshness.reads &&
+	       sr->g->relay.mode == RELAY_MEMBER;
+}
+
 /*
- * How long the store may hold the next read open when it has no new records.
- * The mean grows with the number of readers; the wait is random around it, so
- * that the polls of hosts that started together do not end together. After a
+ * How long the store may hold the next read open when it has no new records. After a
  * failure a read does not wait: its response shows at once that the store has
  * recovered.
  */
 static uint32_t poll_wait_ms(struct store_reader *sr)
 {
-	uint32_t ms = POLL_WAIT_PER_READER_MS * heartbeat_count_readers(sr->g);
+	double random = gateway_random_fraction(sr->g);
 
-	if (sr->failures || sr->poll_now)
+	if (sr->failures || sr->poll_now || asks(sr))
 		return 0;
-	if (sr->topic == ADAPTER_HOSTS)
-		ms = POLL_WAIT_MEAN_MAX_MS;
-	if (ms <= POLL_WAIT_MIN_MS)
-		return POLL_WAIT_MIN_MS;
-	if (ms > POLL_WAIT_MEAN_MAX_MS)
-		ms = POLL_WAIT_MEAN_MAX_MS;
-	return POLL_WAIT_MIN_MS + (uint32_t)(gateway_random(sr->g) %
-					     (2ULL * (ms - POLL_WAIT_MIN_MS)));
+	if (!is_bounded(sr))
+		return HOSTS_WAIT_MIN_MS +
+		       (uint32_t)(random *
+				  (HOSTS_WAIT_MAX_MS - HOSTS_WAIT_MIN_MS));
+	return freshness_wait_ms(heartbeat_reader_rank(sr->g), random);
 }
 
 /* Pause between a successful read and the next one. */
-static double read_interval_s(const struct store_reader *sr)
+static double read_interval_s(struct store_reader *sr)
 {
 	bool news = sr->from_position < sr->g->records[sr->topic].next_position;
 
+	if (asks(sr))
+		return (FRESHNESS_ASK_MIN_MS +
+			gateway_random_fraction(sr->g) *
+				(FRESHNESS_ASK_MAX_MS - FRESHNESS_ASK_MIN_MS)) /
+		       1e3;
 	switch (sr->topic) {
 	case ADAPTER_ENDPOINTS:
 		return news ? ENDPOINTS_PAUSE_S : 0;
@@ -236,30 +258,65 @@
 	}
 }
 
-/* Returns how many times as long this host waits between two tries as it would if it
- * were one of the first two of its domain. */
-static double turns(const struct gateway *g)
+/*
+ * Returns how many times as long this host waits between two tries as it would if it
+ * were one of the first two of its domain. Hosts that are not heard of take no turns;
+ * without any records, this host may not have heard of the others yet.
+ */
+static double turns(const struct store_reader *sr)
 {
-	double n = (double)(g->relay.own_domain->known + 1) / TRIERS;
+	const struct gateway *g = sr->g;
+	uint32_t hosts = g->relay.own_domain->known + 1;
+	double n;
 
+	if (record_offset(g->records[sr->topic].next_position))
+		hosts = relay_living_in_domain(&g->relay, gateway_now_us(g));
+	n = (double)hosts / TRIERS;
 	return relay_has_seniors(&g->relay) && n > 1 ? n : 1;
 }
 
-static double random_fraction(struct gateway *g)
+/* Returns the time at which a host whose records are old reads the stream. */
+static int64_t old_turn_us(const struct store_reader *sr, int64_t now_us)
 {
-	return (double)(gateway_random(g) % 1000000) / 1e6;
+	switch (sr->topic) {
+	case ADAPTER_OPERATORS:
+		return now_us;
+	case ADAPTER_ENDPOINTS:
+		return now_us + SECOND_STREAM_US;
+	default:
+		return now_us + HOSTS_STREAM_US;
+	}
 }
 
-/* No host of the domain reads the stream any more, as far as this one knows: it
- * tries after a random time, so that the hosts do not all try at once. */
+/*
+ * No host of the domain reads the stream any more, as far as this one knows: it
+ * tries after a random time, so that the hosts do not all try at once. If its records
+ * are old, pkg/freshness has waited for a random time.
+ */
 static void wait_for_turn(struct store_reader *sr)
 {
 	struct gateway *g = sr->g;
 
 	sr->turn_us = gateway_now_us(g);
-	if (turns(g) > 1)
-		sr->turn_us += (int64_t)(2e6 * FIRST_TRY_S * turns(g) *
-					 random_fraction(g));
+	if (g->freshness.reads)
+		sr->turn_us = old_turn_us(sr, sr->turn_us);
+	else if (turns(sr) > 1)
+		sr->turn_us += (int64_t)(2e6 * FIRST_TRY_S * turns(sr) *
+					 gateway_random_fraction(g));
+}
+
+/* The other streams of a host that reads the store since its records are old. */
+static void delay_others(struct store_reader *sr)
+{
+	struct gateway *g = sr->g;
+	int t;
+
+	if (sr->topic != ADAPTER_OPERATORS || !g->freshness.reads)
+		return;
+	for (t = 0; t < ADAPTER_TOPICS; t++)
+		if (g->reader[t].awaits_turn &&
+		    g->reader[t].turn_us < sr->turn_us)
+			g->reader[t].turn_us = sr->turn_us;
 }
 
 /* Schedules the next read after a failed one, with exponential backoff. */
@@ -277,10 +334,11 @@
 		after_s *= 2;
 	if (after_s > BACKOFF_MAX_S)
 		after_s = BACKOFF_MAX_S;
-	if (turns(sr->g) > 1)
-		after_s = BACKOFF_MAX_S * turns(sr->g) *
-			  (0.5 + random_fraction(sr->g));
+	if (turns(sr) > 1)
+		after_s = BACKOFF_MAX_S * turns(sr) *
+			  (0.5 + gateway_random_fraction(sr->g));
 	sr->turn_us = gateway_now_us(sr->g) + (int64_t)(after_s * 1e6);
+	delay_others(sr);
 	set_timer(sr, after_s < PASSIVE_CHECK_S ? after_s : PASSIVE_CHECK_S);
 }
 
@@ -299,8 +357,10 @@
 
 	if (r < 0)
 		return r;
-	if (first)
+	if (first) {
 		sr->snapshot_end = record_position(response_era(sr), end);
+		sr->snapshot_us = sr->answered_us;
+	}
 	if (more)
 		return 0;
 	logline(LOG_INFO, "snapshot", "stream=%d era=%u end=%llu", sr->topic,
@@ -309,6 +369,9 @@
 	records_snapshot_end(&sr->g->records[sr->topic], RECORDS_STORE,
 			     sr->snapshot_end, on_missing_key, sr);
 	store_reader_advance(sr->g, sr->topic, sr->snapshot_end);
+	if (is_bounded(sr))
+		freshness_set_read(&sr->g->freshness, sr->topic,
+				   sr->snapshot_us);
 	sr->in_snapshot = false;
 	return 0;
 }
@@ -346,11 +409,14 @@
 static int apply_records(struct store_reader *sr)
 {
 	struct records *r = &sr->g->records[sr->topic];
-	uint64_t next = record_offset(sr->from_position);
+	uint64_t next = record_offset(sr->from_position), end = 0;
 	int error = adapter_read_records(h1_buf_data(&sr->body),
 					 h1_buf_len(&sr->body), on_record, sr,
-					 next, &next);
+					 next, &next, &end);
 
+	if (error == 0 && next >= end && is_bounded(sr))
+		freshness_set_read(&sr->g->freshness, sr->topic,
+				   sr->answered_us);
 	next = record_position(response_era(sr), next);
 	if (error == 0 && next > r->next_position) {
 		store_reader_advance(sr->g, sr->topic, next);
@@ -384,6 +450,18 @@
 	return true;
 }
 
+/* A host that turned to the store reads the second stream once the first is there. */
+static void read_second_stream(struct store_reader *sr)
+{
+	struct store_reader *second = &sr->g->reader[ADAPTER_ENDPOINTS];
+
+	if (sr->topic != ADAPTER_OPERATORS || !sr->g->freshness.reads ||
+	    !second->awaits_turn)
+		return;
+	second->turn_us = gateway_now_us(sr->g);
+	set_timer(second, 0.);
+}
+
 /* Applies a complete response and schedules the next read. */
 static void on_response(struct store_reader *sr)
 {
@@ -423,6 +501,7 @@
 			sr->topic, sr->failures);
 	sr->failures = 0;
 	sr->last_ok_us = gateway_now_us(sr->g);
+	read_second_stream(sr);
 	/* The next page of the snapshot. */
 	if (was_snapshot && sr->after_key[0] && sr->in_snapshot) {
 		start_read(sr);
@@ -442,6 +521,7 @@
 	int64_t era = adapter_read_era(h);
 
 	sr->status = h->status;
+	sr->answered_us = gateway_input_us(sr->g);
 	if (era != sr->era)
 		logline(LOG_NOTICE, "store_era",
 			"stream=%d era=%lld before=%lld status=%u", sr->topic,
@@ -521,7 +601,8 @@
 
 /*
  * Returns true if other hosts of the domain read the stream, or if this host
- * starts and they are about to.
+ * starts and they are about to. A member goes by the age of what its delegates tell,
+ * wherever they got it.
  */
 static bool may_be_passive(const struct store_reader *sr)
 {
@@ -533,7 +614,9 @@
 	if (gateway_now_us(g) - g->relay.start_us < START_WAIT_US &&
 	    relay_has_seniors(&g->relay))
 		return true;
-	return !empty && heartbeat_may_be_passive(g);
+	if (empty || g->freshness.reads)
+		return false;
+	return g->relay.mode == RELAY_MEMBER || heartbeat_may_be_passive(g);
 }
 
 /* Reads, or waits: for other hosts of the domain that do, or for this host's turn. */
@@ -585,6 +668,16 @@
 	schedule(sr);
 }
 
+/* See gateway.h. */
+void store_reader_reissue(struct store_reader *sr)
+{
+	h1_exchange_cancel(&sr->exchange);
+	h1_client_close_idle(&sr->g->store);
+	sr->reissued = true;
+	sr->poll_now = true;
+	set_timer(sr, 0.);
+}
+
 /*
  * See gateway.h. If peers have been ahead for LAG_MAX_US, the connection of the
  * read in progress counts as dead: the read is canceled and sent again.
@@ -613,14 +706,18 @@
 				g->records[t].next_position),
 			record_era(peer_position),
 			(unsigned long long)record_offset(peer_position));
-		h1_exchange_cancel(&sr->exchange);
-		sr->reissued = true;
-		sr->poll_now = true;
-		set_timer(sr, 0.);
+		store_reader_reissue(sr);
 	}
 	return true;
 }
 
+/* See gateway.h. */
+void store_reader_look(struct store_reader *sr)
+{
+	sr->awaits_turn = false;
+	set_timer(sr, 0.);
+}
+
 /* See gateway.h. */
 void store_reader_poll(struct gateway *g, enum adapter_topic t)
 {
@@ -635,8 +732,12 @@
 /* See gateway.h. */
 void store_reader_init(struct gateway *g)
 {
+	uint32_t bound_ms = g->settings->config_apply_ms;
 	int t;
 
+	if (g->settings->drain_timeout_ms < bound_ms)
+		bound_ms = g->settings->drain_timeout_ms;
+	freshness_init(&g->freshness, bound_ms * 1000LL, gateway_now_us(g));
 	for (t = 0; t < ADAPTER_TOPICS; t++) {
 		struct store_reader *sr = &g->reader[t];
 
--- a/fuzz/adapter.c
+++ b/fuzz/adapter.c
@@ -37,7 +37,7 @@
 	char why[ADAPTER_REASON_BYTES], last[RECORD_KEY_BYTES] = "";
 	char handle[ADAPTER_HANDLE_BYTES];
 	const char *text = (const char *)p + 1;
-	uint64_t next;
+	uint64_t next, end;
 	bool more;
 
 	if (!n)
@@ -47,7 +47,7 @@
 		directory_unref(adapter_read_directory(text, n - 1, why));
 		break;
 	case 1:
-		adapter_read_records(text, n - 1, take, NULL, 0, &next);
+		adapter_read_records(text, n - 1, take, NULL, 0, &next, &end);
 		break;
 	case 2:
 		adapter_read_snapshot(text, n - 1, take, NULL, &more, last,
--- a/pkg/h1/client.c
+++ b/pkg/h1/client.c
@@ -463,6 +463,17 @@
 		x->conn->head.close = true;
 }
 
+void h1_client_close_idle(struct h1_client *client)
+{
+	struct h1_client_conn *c, *next;
+
+	for (c = LIST_FIRST(&client->conns); c; c = next) {
+		next = LIST_NEXT(c, entry);
+		if (!c->exchange && !c->free_pending)
+			conn_free(c);
+	}
+}
+
 static void on_sweep(struct ev_loop *loop, ev_timer *w, int events)
 {
 	struct h1_client *client = w->data;
--- a/pkg/h1/h1.h
+++ b/pkg/h1/h1.h
@@ -426,6 +426,9 @@
  * not be called from a head or body handler.
  */
 void h1_client_finish(struct h1_client *client);
+/* Closes the connections that no exchange uses: one that has been idle may be dead
+ * without a sign. */
+void h1_client_close_idle(struct h1_client *client);
 /*
  * Sends a request of n bytes, which are copied, on an idle connection to addr
  * or on a new one. h and ctx stay with the caller until the exchange ends.
--- a/pkg/pool_settings/pool_settings.c
+++ b/pkg/pool_settings/pool_settings.c
@@ -12,6 +12,8 @@
 /* Fits the smallest hosts, which have 88 MB. */
 #define RESPONSE_MAX_KB_DEFAULT 4096
 #define ROLLOUT_STOP_MS_DEFAULT 5000
+#define CONFIG_APPLY_MS_DEFAULT 2000
+#define DRAIN_TIMEOUT_MS_DEFAULT 2000
 /* Hedges use the retry budget, of which the rest is left for failures. */
 #define HEDGE_SHARE_MAX 0.2
 
@@ -90,6 +92,10 @@
 
 static void read_optional(struct jread_node *root, struct pool_settings *s)
 {
+	s->config_apply_ms = (uint32_t)jread_double_or(
+		root, "config_apply_ms", CONFIG_APPLY_MS_DEFAULT, 100, 3.6e6);
+	s->drain_timeout_ms = (uint32_t)jread_double_or(
+		root, "drain_timeout_ms", DRAIN_TIMEOUT_MS_DEFAULT, 100, 3.6e6);
 	s->response_max_kb = (uint32_t)jread_double_or(
 		root, "response_max_kb", RESPONSE_MAX_KB_DEFAULT, 16, 1e6);
 	s->rollout_share = jread_double_or(root, "rollout_share", 0, 0, 1);
--- a/pkg/pool_settings/pool_settings.h
+++ b/pkg/pool_settings/pool_settings.h
@@ -36,6 +36,10 @@
 	double retry_slack;    /* further retries of all hosts per window */
 	/* Allowed excess over an account's limit, in the unit of the limit. */
 	double limit_slack;
+	/* Within what time after the store's acknowledgement a configuration is in force
+	 * at this host, and an endpoint that leaves gets nothing more; optional. */
+	uint32_t config_apply_ms;
+	uint32_t drain_timeout_ms;
 	/* Longest response body that is buffered, in KiB; optional. */
 	uint32_t response_max_kb;
 	/* Rollouts; optional. Part of a service's requests, over all hosts, that a
--- a/pkg/pool_settings/test/pool_settings_test.cc
+++ b/pkg/pool_settings/test/pool_settings_test.cc
@@ -111,3 +111,19 @@
 	EXPECT_NE(std::string(p.errors.message[0]).find("f.descriptors"),
 		  std::string::npos);
 }
+
+/* Guards against a host that takes the users' bounds for longer than they are. */
+TEST(PoolSettings, ReadsTheBoundsOfRecords)
+{
+	const std::string secret = "\"" + std::string(64, 'a') + "\"";
+	Parsed none(settings_with_secret(secret));
+	Parsed set(settings_with_secret(
+		secret +
+		R"(, "config_apply_ms": 4000, "drain_timeout_ms": 3000)"));
+
+	EXPECT_EQ(none.s.config_apply_ms, 2000u);
+	EXPECT_EQ(none.s.drain_timeout_ms, 2000u);
+	EXPECT_EQ(set.r, 0);
+	EXPECT_EQ(set.s.config_apply_ms, 4000u);
+	EXPECT_EQ(set.s.drain_timeout_ms, 3000u);
+}
--- a/pkg/relay/messages.c
+++ b/pkg/relay/messages.c
@@ -18,6 +18,12 @@
  * run for longer is new to this host only. */
 #define YOUNG_US 3000000LL
 
+/* The age of what is unknown. */
+#define AGE_UNKNOWN UINT32_MAX
+/* Added to an age for the way of its message. It is more than messages take, so that
+ * what hosts tell each other in turn does not become younger on the way. */
+#define AGE_HOP_US 10000LL
+
 /* Bytes of rows on the wire, as XDR: what is around them, and each element. */
 #define ROWS_HEAD_BYTES 250
 #define ROW_BYTES 36
@@ -79,12 +85,33 @@
 	count_remote(ctx, account, change);
 }
 
-static void set_offsets(struct relay_host *h, const uint64_t *next_position,
-			uint32_t state, int64_t now_us)
+void relay_fill_ages(const int64_t *as_of_us, int64_t now_us,
+		     unsigned int out[FIG_TOPICS])
 {
+	int t;
+
+	for (t = 0; t < FIG_TOPICS; t++)
+		out[t] = as_of_us[t]
+				 ? (unsigned int)((now_us - as_of_us[t] + 999) /
+						  1000)
+				 : AGE_UNKNOWN;
+}
+
+/* An older build sends no ages. */
+static void set_offsets(const struct relay *r, struct relay_host *h,
+			const uint64_t *next_position, uint32_t state,
+			const u_int *age_ms, u_int n_ages)
+{
+	u_int t;
+
 	memcpy(h->next_position, next_position, sizeof(h->next_position));
 	h->reader_state = (enum fig_following)state;
-	h->offsets_us = now_us;
+	h->offsets_us = r->now_us;
+	for (t = 0; t < FIG_TOPICS; t++)
+		h->as_of_us[t] = t < n_ages && age_ms[t] != AGE_UNKNOWN
+					 ? r->input_us - AGE_HOP_US -
+						   (int64_t)age_ms[t] * 1000
+					 : 0;
 }
 
 /* Returns false if the host already sent a newer message of this kind. */
@@ -180,7 +207,8 @@
 	h->counter = counter;
 	relay_table_set_load(r, h, load, s->load.load_len, s->waiting);
 	relay_table_set_heard(r, h, now_us);
-	set_offsets(h, next_position, s->following, now_us);
+	set_offsets(r, h, next_position, s->following, s->age_ms.age_ms_val,
+		    s->age_ms.age_ms_len);
 	return h;
 }
 
@@ -241,7 +269,8 @@
 	snprintf(h->addr, sizeof(h->addr), "%s", rows->addr);
 	h->rows_us = now_us;
 	relay_table_set_delegate(r, h, true);
-	set_offsets(h, rows->upto, rows->following, now_us);
+	set_offsets(r, h, rows->upto, rows->following, rows->age_ms.age_ms_val,
+		    rows->age_ms.age_ms_len);
 	for (i = 0; i < rows->row.row_len; i++)
 		apply_row(r, rows->domain, &rows->row.row_val[i], now_us);
 	if (h->domain && h->domain != r->own_domain) {
@@ -277,7 +306,8 @@
 	h->down = false;
 	r->answer_us = now_us;
 	h->direct_us = now_us;
-	set_offsets(h, d->upto, d->following, now_us);
+	set_offsets(r, h, d->upto, d->following, d->age_ms.age_ms_val,
+		    d->age_ms.age_ms_len);
 	if (!d->complete)
 		return h;
 	load = copy_totals(d->load.load_val, d->load.load_len);
@@ -380,6 +410,18 @@
 	return 0;
 }
 
+/* Fills the ages of this host's own knowledge of the store. Returns 0 or -ENOMEM. */
+static int fill_own_ages(const struct relay *r, int64_t now_us, u_int **out,
+			 u_int *n)
+{
+	*out = calloc(FIG_TOPICS, sizeof(**out));
+	if (!*out)
+		return -ENOMEM;
+	*n = FIG_TOPICS;
+	relay_fill_ages(r->self.as_of_us, now_us, *out);
+	return 0;
+}
+
 /* The rows of this host and of those of its domain that report to it, as far as
  * they have changed or were not sent lately. */
 int relay_fill_rows(struct relay *r, struct fig_rows *rows, int64_t now_us)
@@ -391,6 +433,9 @@
 
 	memcpy(rows->upto, r->self.next_position, sizeof(rows->upto));
 	rows->following = r->self.reader_state;
+	if (fill_own_ages(r, now_us, &rows->age_ms.age_ms_val,
+			  &rows->age_ms.age_ms_len) < 0)
+		return -ENOMEM;
 	error = fill_spent(r, r->domain_spent, NULL, &rows->spent.spent_val,
 			   &rows->spent.spent_len);
 	rows->row.row_val = calloc(d->n + 1, sizeof(*row));
@@ -436,6 +481,7 @@
 		free(rows->row.row_val[i].load.load_val);
 	free(rows->row.row_val);
 	free(rows->spent.spent_val);
+	free(rows->age_ms.age_ms_val);
 }
 
 static struct fig_total *find_total(struct fig_digest *d, uint32_t endpoint)
@@ -502,6 +548,9 @@
 
 	memcpy(d->upto, r->self.next_position, sizeof(d->upto));
 	d->following = r->self.reader_state;
+	if (fill_own_ages(r, now_us, &d->age_ms.age_ms_val,
+			  &d->age_ms.age_ms_len) < 0)
+		return -ENOMEM;
 	d->complete = relay_is_complete(r, now_us);
 	d->oldest_ms = oldest && now_us > oldest->heard_us
 			       ? (u_int)((now_us - oldest->heard_us) / 1000)
@@ -531,4 +580,5 @@
 	free(d->domains.domains_val);
 	free(d->spent.spent_val);
 	free(d->load.load_val);
+	free(d->age_ms.age_ms_val);
 }
--- a/pkg/relay/relay.c
+++ b/pkg/relay/relay.c
@@ -45,7 +45,7 @@
 	snprintf(r->name, sizeof(r->name), "%s", name);
 	r->id = namehash(name);
 	r->boot = boot;
-	r->start_us = r->now_us = r->mode_us = now_us;
+	r->start_us = r->now_us = r->mode_us = r->input_us = now_us;
 	r->limits = limits;
 	TAILQ_INIT(&r->alive);
 	TAILQ_INIT(&r->silent);
@@ -122,6 +122,11 @@
 	return true;
 }
 
+void relay_set_input_time(struct relay *r, int64_t input_us)
+{
+	r->input_us = input_us;
+}
+
 void relay_set_self(struct relay *r, const struct relay_self *self)
 {
 	r->self = *self;
--- a/pkg/relay/relay.h
+++ b/pkg/relay/relay.h
@@ -105,7 +105,10 @@
 	uint64_t next_position[FIG_STREAMS];
 	enum fig_following reader_state;
 	int64_t offsets_us; /* when these were received; 0 if never */
-	bool fetching;	    /* for the caller: records are being fetched */
+	/* When the store held no records of the topic after next_position, by this
+	 * host's clock; 0 if unknown. */
+	int64_t as_of_us[FIG_TOPICS];
+	bool fetching; /* for the caller: records are being fetched */
 };
 TAILQ_HEAD(relay_hosts, relay_host);
 
@@ -123,6 +126,8 @@
 	uint64_t counter; /* of the last message sent */
 	uint64_t next_position[FIG_STREAMS];
 	enum fig_following reader_state;
+	/* As in struct relay_host. */
+	int64_t as_of_us[FIG_TOPICS];
 	/* Totals of this host beside those of accounts, since its start. */
 	const struct totals_row *total;
 	uint32_t n_own_totals;
@@ -167,6 +172,7 @@
 	int64_t mode_us;     /* since when */
 	int64_t reported_us; /* last report of its domain; 0 if none */
 	int64_t now_us;	     /* time of the last event */
+	int64_t input_us;    /* see relay_set_input_time() */
 	int64_t report_us;   /* last report sent */
 	int64_t rows_us;     /* last rows sent */
 	uint32_t rows_bytes; /* their size, about */
@@ -226,6 +232,12 @@
  * this host then asks delegates of its domain, however few hosts it knows.
  */
 void relay_set_partial(struct relay *r, bool partial);
+/*
+ * Tells the earliest time at which the messages that are handled next may have
+ * arrived. What a message says is taken to be true as of then: a process that was
+ * stopped for a while finds messages that have waited as long.
+ */
+void relay_set_input_time(struct relay *r, int64_t input_us);
 /* Sets this host's own state, for the messages that it sends. */
 void relay_set_self(struct relay *r, const struct relay_self *self);
 
@@ -303,7 +315,17 @@
  * rank before this one.
  */
 bool relay_has_seniors(const struct relay *r);
-/* Counts this host and the others known to read the store's streams. */
-uint32_t relay_count_readers(const struct relay *r, int64_t now_us);
+/*
+ * Returns the place of this host among the hosts that read the store's streams
+ * themselves, by their ids and as far as it has heard of them lately. It counts as
+ * one of them.
+ */
+uint32_t relay_reader_rank(const struct relay *r, int64_t now_us);
+/* Returns how many hosts of this host's domain are alive, this one included. */
+uint32_t relay_living_in_domain(const struct relay *r, int64_t now_us);
+/* Returns the ages to send of a host's knowledge of the store, from times as in
+ * struct relay_self. */
+void relay_fill_ages(const int64_t *as_of_us, int64_t now_us,
+		     unsigned int out[FIG_TOPICS]);
 
 #endif
--- a/pkg/relay/test/network.h
+++ b/pkg/relay/test/network.h
@@ -35,6 +35,10 @@
 		bool up = false;
 		int64_t next_tick_us = 0, frozen_until_us = 0;
 		int64_t handling_us = 0; /* a slow host handles messages late */
+		/* Streams of the store, for messages; see struct relay_self. */
+		uint64_t position[FIG_STREAMS] = {};
+		enum fig_following reader_state = FIG_TURNED_AWAY;
+		int64_t as_of_us[FIG_TOPICS] = {};
 		/* Counters of messages, by the sender and the receiver. */
 		uint64_t sent = 0, received = 0, bytes = 0;
 		uint64_t sent_bytes = 0;
@@ -61,6 +65,9 @@
 	/* Whether a datagram gets from one node to another. */
 	std::function<bool(const Node &, const Node &)> reaches =
 		[](const Node &, const Node &) { return true; };
+	/* Called after each message that a node received from a host. */
+	std::function<void(Node &, struct relay_host *)> after_message =
+		[](Node &, struct relay_host *) {};
 	/* Called before each tick of a node, to set its load. */
 	std::function<void(Node &)> before_tick = [](Node &) {};
 	/* Called for each new start of a node, to declare its accounts. */
@@ -151,6 +158,12 @@
 		s->domain = (char *)n.domain.c_str();
 		s->addr = (char *)n.addr.c_str();
 		s->uptime_ms = (uint64_t)(now_us - n.relay.start_us) / 1000;
+		s->following = n.reader_state;
+		memcpy(s->upto, n.position, sizeof(s->upto));
+		s->age_ms.age_ms_len = FIG_TOPICS;
+		s->age_ms.age_ms_val =
+			(u_int *)calloc(FIG_TOPICS, sizeof(u_int));
+		relay_fill_ages(n.as_of_us, now_us, s->age_ms.age_ms_val);
 		s->spent.spent_val = (struct fig_spent *)calloc(
 			n.limits->n_accounts + 2, sizeof(struct fig_spent));
 		if (n.total.amount) {
@@ -207,6 +220,10 @@
 		self.counter = n.sealer.counter;
 		self.total = &n.total;
 		self.n_own_totals = n.total.amount != 0;
+		self.reader_state = n.reader_state;
+		memcpy(self.next_position, n.position,
+		       sizeof(self.next_position));
+		memcpy(self.as_of_us, n.as_of_us, sizeof(self.as_of_us));
 		relay_set_self(&n.relay, &self);
 	}
 	void tick(Node &n)
@@ -230,6 +247,7 @@
 			free(s->spent.spent_val);
 			free(s->refused.refused_val);
 			free(s->load.load_val);
+			free(s->age_ms.age_ms_val);
 		}
 		for (i = 0; i < count && out[i].kind != RELAY_SEND_ROWS; i++)
 			;
@@ -256,6 +274,7 @@
 		struct wire_opened m;
 		struct relay_host *h;
 
+		relay_set_input_time(&n.relay, now_us);
 		n.received++;
 		n.bytes += bytes.size();
 		if (wire_open(n.sealer.secret, bytes.data(), bytes.size(), &m) <
@@ -268,12 +287,15 @@
 			if (h && m.call.fig_call_u.share.asks)
 				send_digest(n, h);
 		} else if (m.call.kind == FIG_ROWS) {
-			relay_on_rows(&n.relay, m.sender, m.boot, m.counter,
-				      &m.call.fig_call_u.rows, now_us);
+			h = relay_on_rows(&n.relay, m.sender, m.boot, m.counter,
+					  &m.call.fig_call_u.rows, now_us);
 		} else {
-			relay_on_digest(&n.relay, m.sender, m.boot, m.counter,
-					&m.call.fig_call_u.digest, now_us);
+			h = relay_on_digest(&n.relay, m.sender, m.boot,
+					    m.counter,
+					    &m.call.fig_call_u.digest, now_us);
 		}
+		if (h)
+			after_message(n, h);
 		wire_open_finish(&m);
 	}
 	void send_digest(Node &n, struct relay_host *to)
--- a/pkg/relay/view.c
+++ b/pkg/relay/view.c
@@ -13,6 +13,9 @@
 #define ROWS_GRACE_US 1500000LL
 /* Reader states that are older than this are unknown. */
 #define READER_STALE_US 2000000LL
+/* A host counts for the rank of others for this long after its last message, which
+ * is due every 0.1 to 0.7 s. */
+#define RANK_STALE_US 1000000LL
 /* Domains count as alive for this long after the last digest: while delegates
  * are replaced no digest arrives. */
 #define DOMAINS_STALE_US 3000000LL
@@ -186,9 +189,10 @@
 	return now_us - heard_us + RELAY_REPORT_US;
 }
 
-static bool reads_store(const struct relay_host *h, int64_t now_us)
+static bool reads_store(const struct relay_host *h, int64_t stale_us,
+			int64_t now_us)
 {
-	return h->offsets_us && now_us - h->offsets_us < READER_STALE_US &&
+	return h->offsets_us && now_us - h->offsets_us < stale_us &&
 	       h->reader_state == FIG_FOLLOWS;
 }
 
@@ -199,7 +203,7 @@
 	uint32_t i, before = 0;
 
 	for (i = 0; i < d->n; i++) {
-		if (!reads_store(d->host[i], now_us))
+		if (!reads_store(d->host[i], READER_STALE_US, now_us))
 			continue;
 		if (r->mode == RELAY_MEMBER)
 			return true;
@@ -218,11 +222,19 @@
 	return n >= RELAY_DELEGATES;
 }
 
-uint32_t relay_count_readers(const struct relay *r, int64_t now_us)
+uint32_t relay_reader_rank(const struct relay *r, int64_t now_us)
 {
-	uint32_t i, n = 1;
+	uint32_t i, rank = 0;
 
-	for (i = 0; i < r->n_hosts; i++)
-		n += reads_store(r->host[i], now_us);
-	return n;
+	for (i = 0; i < r->n_hosts && r->host[i]->id < r->id; i++)
+		rank += reads_store(r->host[i], RANK_STALE_US, now_us);
+	return rank;
+}
+
+/* A member hears delegates only; their digests tell of the others. */
+uint32_t relay_living_in_domain(const struct relay *r, int64_t now_us)
+{
+	if (relay_uses_digest(r, now_us) && digest_is_fresh(r, now_us))
+		return r->own_domain->digest_alive;
+	return r->own_domain->alive + 1;
 }
--- a/pkg/stats/stats.h
+++ b/pkg/stats/stats.h
@@ -93,6 +93,8 @@
 	  "rollouts that this host wrote as rolled back")                      \
 	X(STORE_CALLS, "store_calls", "calls to the store")                    \
 	X(STORE_FAILURES, "store_failures", "calls to the store that failed")  \
+	X(RECORDS_OLD, "records_old",                                          \
+	  "turns to the store as what other hosts told was old")               \
 	X(CONNECTS, "connects", "connections opened to endpoints")             \
 	X(PEER_MESSAGES, "peer_messages", "messages from other hosts")         \
 	X(PEER_BYTES, "peer_bytes", "bytes exchanged with other hosts")        \
@@ -116,6 +118,8 @@
 	  "longest pause between events of a stream")                          \
 	X(WAIT_S, "wait", "time that a request waited for room")               \
 	X(PREFILL_S, "prefill", "time that a prefill took")                    \
+	X(RECORDS_AGE_S, "records_age",                                        \
+	  "age of what is known of the store's streams")                       \
 	X(KNOWLEDGE_AGE_S, "knowledge_age",                                    \
 	  "age of the oldest part of what is known of other hosts")
 
--- a/pkg/wire/fig_msg.x
+++ b/pkg/wire/fig_msg.x
@@ -262,6 +262,9 @@
 	unsigned int waiting; /* requests that wait for an endpoint */
 	bool asks; /* for a digest */
 	fig_spent refused<FIG_SPENT_MAX>; /* of accounts, since its start */
+	/* Since minor 6. For each topic, how long ago the store held no record after
+	 * upto, in milliseconds; all ones if that is unknown. */
+	unsigned int age_ms<FIG_TOPICS>;
 };
 
 const FIG_STREAMS = 3;
@@ -302,6 +305,7 @@
 	unsigned int following;
 	fig_account_total spent<FIG_TOTALS_MAX>; /* by the domain's hosts */
 	fig_host_row row<FIG_ROWS_MAX>; /* of the domain */
+	unsigned int age_ms<FIG_TOPICS>; /* as in fig_share */
 };
 
 struct fig_domain_hosts {
@@ -322,6 +326,7 @@
 	fig_domain_hosts domains<FIG_DOMAINS_MAX>; /* all hosts are counted */
 	fig_account_total spent<FIG_TOTALS_MAX>;
 	fig_total load<FIG_TOTALS_MAX>;
+	unsigned int age_ms<FIG_TOPICS>; /* as in fig_share */
 };
 
 const FIG_RECORDS_MAX = 8192;
--- a/pkg/wire/gen/fig_msg.h
+++ b/pkg/wire/gen/fig_msg.h
@@ -301,6 +301,10 @@
 		u_int refused_len;
 		fig_spent *refused_val;
 	} refused;
+	struct {
+		u_int age_ms_len;
+		u_int *age_ms_val;
+	} age_ms;
 };
 typedef struct fig_share fig_share;
 #define FIG_STREAMS 3
@@ -347,6 +351,10 @@
 		u_int row_len;
 		fig_host_row *row_val;
 	} row;
+	struct {
+		u_int age_ms_len;
+		u_int *age_ms_val;
+	} age_ms;
 };
 typedef struct fig_rows fig_rows;
 
@@ -377,6 +385,10 @@
 		u_int load_len;
 		fig_total *load_val;
 	} load;
+	struct {
+		u_int age_ms_len;
+		u_int *age_ms_val;
+	} age_ms;
 };
 typedef struct fig_digest fig_digest;
 #define FIG_RECORDS_MAX 8192
--- a/pkg/wire/gen/fig_msg_xdr.c
+++ b/pkg/wire/gen/fig_msg_xdr.c
@@ -648,6 +648,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->refused.refused_val, (u_int *) &objp->refused.refused_len, FIG_SPENT_MAX,
 		sizeof (fig_spent), (xdrproc_t) xdr_fig_spent))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->age_ms.age_ms_val, (u_int *) &objp->age_ms.age_ms_len, FIG_TOPICS,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -719,6 +722,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->row.row_val, (u_int *) &objp->row.row_len, FIG_ROWS_MAX,
 		sizeof (fig_host_row), (xdrproc_t) xdr_fig_host_row))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->age_ms.age_ms_val, (u_int *) &objp->age_ms.age_ms_len, FIG_TOPICS,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -777,6 +783,9 @@
 		 if (!xdr_array (xdrs, (char **)&objp->load.load_val, (u_int *) &objp->load.load_len, FIG_TOTALS_MAX,
 			sizeof (fig_total), (xdrproc_t) xdr_fig_total))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->age_ms.age_ms_val, (u_int *) &objp->age_ms.age_ms_len, FIG_TOPICS,
+			sizeof (u_int), (xdrproc_t) xdr_u_int))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_fig_name (xdrs, &objp->domain))
@@ -812,6 +821,9 @@
 		 if (!xdr_array (xdrs, (char **)&objp->load.load_val, (u_int *) &objp->load.load_len, FIG_TOTALS_MAX,
 			sizeof (fig_total), (xdrproc_t) xdr_fig_total))
 			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->age_ms.age_ms_val, (u_int *) &objp->age_ms.age_ms_len, FIG_TOPICS,
+			sizeof (u_int), (xdrproc_t) xdr_u_int))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -839,6 +851,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->load.load_val, (u_int *) &objp->load.load_len, FIG_TOTALS_MAX,
 		sizeof (fig_total), (xdrproc_t) xdr_fig_total))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->age_ms.age_ms_val, (u_int *) &objp->age_ms.age_ms_len, FIG_TOPICS,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/pkg/wire/wire.h
+++ b/pkg/wire/wire.h
@@ -17,7 +17,7 @@
 #define WIRE_SECRET_BYTES 32
 #define WIRE_MESSAGE_MAX (FIG_BODY_MAX + 1024)
 /* Goes up by one with each field added to a message that there was before. */
-#define WIRE_MINOR 5
+#define WIRE_MINOR 6
 
 enum wire_direction {
 	WIRE_CALL,
--- a/test/pools/deployment.py
+++ b/test/pools/deployment.py
@@ -157,6 +157,8 @@
             "Services": [
                 {"Name": "plain", "HealthCheckPath": "/health",
                  "ConnectionLimit": 100, "ColdStartS": 0, "ColdPerS": 0},
+                {"Name": "other", "HealthCheckPath": "/health",
+                 "ConnectionLimit": 100, "ColdStartS": 0, "ColdPerS": 0},
                 {"Name": "model", "HealthCheckPath": "/health",
                  "ConnectionLimit": 100, "ColdStartS": 0, "ColdPerS": 0,
                  "Engine": {"Slots": 8, "KvCapacityTokens": 40000,
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -23,6 +23,7 @@
 
 from deployment import (CALLERS_PORT, METRICS_PORT, PEER_PORT, SECRET, Deployment,
                         read_response)
+from freshness_tests import *
 from rollout_tests import *
 from standins import odd_entries
 
@@ -1871,9 +1872,8 @@
     await start_small(d)
     await asyncio.sleep(2)
     before = [s.calls for s in d.host_stores]
-    await asyncio.sleep(3)
+    passive = await find_passive(d)
     calls = [s.calls - n for s, n in zip(d.host_stores, before)]
-    passive = calls.index(min(calls))
     assert calls[passive] <= 1, "all three hosts poll the store"
     assert sum(calls) >= 2
     for n in range(1500):
@@ -1904,16 +1904,6 @@
 test_only_two_hosts_of_a_domain_poll_the_store.domains = ("a",)
 
 
-async def find_passive(d):
-    """Returns the index of the host that leaves the store to the other two."""
-    await asyncio.sleep(2)
-    before = [s.calls for s in d.host_stores]
-    await asyncio.sleep(2)
-    calls = [s.calls - n for s, n in zip(d.host_stores, before)]
-    assert sorted(calls)[0] <= 1 < sorted(calls)[1], calls
-    return calls.index(min(calls))
-
-
 # Guards against a host that goes on to use what was deleted while the hosts from which
 # it gets its records were down: they start from a snapshot, which lacks deletions.
 async def test_learns_of_deletions_while_the_readers_restart(d):
--- a/test/pools/standins.py
+++ b/test/pools/standins.py
@@ -117,6 +117,7 @@
         self.delay_s = 0
         self.append_delay_s = 0  # of the root: before responses to appends
         self.calls = 0
+        self.open_reads = {}  # number of reads in progress, by topic
         self.pages = []  # of snapshots read: (topic, key before the page)
         self.appends = []  # through this port: (time, status, keys)
         # Of the root: called with (topic, query, body) before each append.
@@ -174,8 +175,14 @@
             out = self.snapshot(topic, query.get("after", ""))
             writer.write(await self.at_read_rate(out))
         elif path == "/figbend/log-read":
-            out = await self.read_records(topic, query)
-            await asyncio.sleep(self.delay_s)
+            self.open_reads[topic] = self.open_reads.get(topic, 0) + 1
+            try:
+                out = await self.read_records(topic, query)
+                await asyncio.sleep(self.delay_s)
+                if self.mode == "hang":
+                    await asyncio.sleep(3600)
+            finally:
+                self.open_reads[topic] -= 1
             writer.write(await self.at_read_rate(out))
         elif path == "/figbend/log-append":
             out = self.append(topic, query, body)
