h1: a response without a length ends only after the whole request

Callers saw: a part of an answer as a complete 200 with a length, where an engine answers a long upload at once, without a length, and ends its side of the connection in order while the upload is still being written, with or without a reset after that.

Cause: handle_close() took any end in order for the end of such a response. Evidence: with a stand-in that does so, plain calls with a length and in chunks got "a part of the answer" as 200, a stream ended whole after three of ten events, and the handle of a prefill that had not read its prompt was used. Reservations, releases and calls to the store send less than one segment.

Change: the response counts if nothing of the request waits in the buffer or, without an acknowledgement, in the kernel, and no reset has arrived; else the exchange is incomplete. A refusal counts by its head, as otherwise a call that an engine refuses in the same way would end with 502 in place of a retry.

Tests: h1_socket_test AResponseThatEndsBeforeTheRequestIsNotComplete and AResponseThatEndsAndIsResetIsNotComplete, pools a_call_that_ends_during_its_upload..., a_stream_..., a_prefill_...: failed before, pass now.

--- a/cmd/figbend/gateway/hedge.c
+++ b/cmd/figbend/gateway/hedge.c
@@ -257,7 +257,7 @@
 		plain_judge(&r->hedge->response, outcome, reason);
 	int64_t now_us = gateway_now_us(r->g);
 
-	if (outcome == H1_INCOMPLETE || outcome == H1_NO_RESPONSE)
+	if (plain_may_have_crashed(outcome, &result))
 		crash_charge(r, r->hedge->endpoint);
 	if (result.outcome != FLEET_SUCCESS) {
 		fail(r, &result);
--- a/cmd/figbend/gateway/plain.c
+++ b/cmd/figbend/gateway/plain.c
@@ -65,16 +65,20 @@
 struct plain_result plain_judge(const struct plain_response *p,
 				enum h1_outcome outcome, const char *reason)
 {
+	/* The head says it, whatever becomes of the body. */
+	bool not_executed = p->not_executed && (outcome == H1_COMPLETE ||
+						outcome == H1_INCOMPLETE);
+
 	if (outcome == H1_NOT_SENT)
 		return (struct plain_result){FLEET_CONNECT_FAILED, false,
 					     reason};
-	if (outcome != H1_COMPLETE)
+	if (outcome != H1_COMPLETE && !not_executed)
 		return (struct plain_result){FLEET_FAILED, true, reason};
-	if (p->not_executed && p->status == 421)
+	if (not_executed && p->status == 421)
 		return (struct plain_result){
 			FLEET_MISDIRECTED, false,
 			"another endpoint responded at the address"};
-	if (p->not_executed)
+	if (not_executed)
 		return (struct plain_result){
 			FLEET_OVERLOADED, false,
 			"endpoint did not execute the request"};
@@ -85,6 +89,14 @@
 	return (struct plain_result){FLEET_SUCCESS, true, ""};
 }
 
+/* See req.h. */
+bool plain_may_have_crashed(enum h1_outcome outcome,
+			    const struct plain_result *result)
+{
+	return (outcome == H1_INCOMPLETE || outcome == H1_NO_RESPONSE) &&
+	       result->may_have_executed;
+}
+
 static void on_end(void *ctx, enum h1_outcome outcome, const char *reason)
 {
 	struct req *r = ctx;
@@ -94,7 +106,7 @@
 	int64_t now_us = gateway_now_us(r->g);
 
 	req_set_step_timer(r, 0);
-	if (outcome == H1_INCOMPLETE || outcome == H1_NO_RESPONSE)
+	if (plain_may_have_crashed(outcome, &result))
 		crash_charge(r, r->endpoint);
 	if (result.outcome != FLEET_SUCCESS) {
 		attempt_failed(r, &result);
--- a/cmd/figbend/gateway/pools.c
+++ b/cmd/figbend/gateway/pools.c
@@ -358,13 +358,15 @@
 {
 	struct req *r = ctx;
 	int64_t now_us = gateway_now_us(r->g);
+	/* The head says it, whatever becomes of the body. */
+	bool refused = outcome == H1_INCOMPLETE && r->not_executed;
 
 	req_set_step_timer(r, 0);
 	if (outcome != H1_NOT_SENT)
 		forget_sent(r);
 	if (outcome == H1_NOT_SENT) {
 		decode_failed(r, FLEET_CONNECT_FAILED, false, reason);
-	} else if (outcome != H1_COMPLETE) {
+	} else if (outcome != H1_COMPLETE && !refused) {
 		if (!r->answer_began)
 			crash_charge(r, r->endpoint);
 		decode_failed(r, FLEET_FAILED, true, reason);
--- a/cmd/figbend/gateway/req.h
+++ b/cmd/figbend/gateway/req.h
@@ -267,6 +267,9 @@
 /* Judges an exchange that has ended. */
 struct plain_result plain_judge(const struct plain_response *p,
 				enum h1_outcome outcome, const char *reason);
+/* Returns true if the endpoint may have crashed during the exchange. */
+bool plain_may_have_crashed(enum h1_outcome outcome,
+			    const struct plain_result *result);
 /*
  * Records a failed attempt at e, which was sent at sent_us, with the request and the
  * endpoint.
--- a/pkg/h1/client.c
+++ b/pkg/h1/client.c
@@ -2,10 +2,12 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -230,17 +232,41 @@
 	} while (h1_buf_len(&c->in) && h1_buf_len(&c->in) != before);
 }
 
+/*
+ * Returns true if the server has received the whole request and has not reset the
+ * connection, as far as the kernel knows.
+ */
+static bool request_was_received(const struct h1_client_conn *c)
+{
+	socklen_t size = sizeof(int);
+	int unacknowledged_bytes = 0, error = 0;
+
+	if (h1_buf_len(&c->out))
+		return false;
+	if (ioctl(c->fd, SIOCOUTQ, &unacknowledged_bytes) == 0 &&
+	    unacknowledged_bytes > 0)
+		return false;
+	/* After the end of the input, reads do not show a reset. */
+	getsockopt(c->fd, SOL_SOCKET, SO_ERROR, &error, &size);
+	return !error;
+}
+
 /*
  * Handles the end of a connection. clean is true if the server closed it, false
- * if it failed.
+ * if it failed. A response without a length ends with the connection, but a server
+ * that ends it before it has the request may have broken off.
  */
 static void handle_close(struct h1_client_conn *c, bool clean)
 {
+	bool until_close = clean && c->have_head && !c->discarding &&
+			   c->body.framing == H1_UNTIL_CLOSE;
+
 	if (!c->exchange)
 		conn_free(c);
-	else if (clean && c->have_head && !c->discarding &&
-		 c->body.framing == H1_UNTIL_CLOSE)
+	else if (until_close && request_was_received(c))
 		exchange_complete(c);
+	else if (until_close)
+		conn_fail(c, "connection closed before the request was sent");
 	else
 		conn_fail(c, clean ? "connection closed by server"
 				   : "connection failed while receiving");
--- a/pkg/h1/test/h1_head_test.cc
+++ b/pkg/h1/test/h1_head_test.cc
@@ -201,7 +201,8 @@
 	for (const char *line :
 	     {"", "HTTP/1.1", "HTTP/1.1 ", "HTTP/1.1 20", "HTTP/1.1 2000 OK",
 	      "HTTP/1.1  20 OK", "HTTP/1.1 +20 OK", "HTTP/1.1 -99 OK",
-	      "HTTP/1.1 099 OK", "HTTP/1.1x200 OK", "HTTP/1.1 600 OK",
+	      "HTTP/1.1 099 OK", "HTTP/1.1 000 OK", "HTTP/1.1 999 OK",
+	      "HTTP/1.1 two OK", "HTTP/1.1x200 OK", "HTTP/1.1 600 OK",
 	      "HTTP/2.0 200 OK"}) {
 		std::string s = std::string(line) + "\r\n\r\n";
 		struct h1_head h;
--- a/pkg/h1/test/h1_socket_test.cc
+++ b/pkg/h1/test/h1_socket_test.cc
@@ -612,14 +612,14 @@
 		ev_timer_start(loop, &t);
 		ev_run(loop, 0);
 	}
-	void start()
+	void start(const std::string &request = "GET /\r\n")
 	{
 		struct sockaddr_in a = loopback(port_of(listener));
 
 		outcome = -1;
 		body.clear();
-		ASSERT_EQ(h1_exchange_start(&client, &x, &a, "GET /\r\n", 7,
-					    &handlers, this),
+		ASSERT_EQ(h1_exchange_start(&client, &x, &a, request.data(),
+					    request.size(), &handlers, this),
 			  0);
 		run_loop(0.02);
 	}
@@ -748,6 +748,58 @@
 	EXPECT_EQ(c.outcome, H1_INCOMPLETE);
 }
 
+/*
+ * Guards against a part of a response that counts as all of it: the server ends it in
+ * order, without a length, while it is still being sent the request.
+ */
+TEST(Client, AResponseThatEndsBeforeTheRequestIsNotComplete)
+{
+	/* More than the kernel takes, and less. */
+	for (size_t request_bytes : {32u << 20, 1u << 20}) {
+		int small = 4096;
+		Client c;
+
+		setsockopt(c.listener, SOL_SOCKET, SO_RCVBUF, &small,
+			   sizeof(small));
+		c.start(std::string(request_bytes, 'x'));
+		int fd = c.accept_request();
+		c.send_bytes(fd, "HTTP/1.1 200 OK\r\n\r\npart");
+		shutdown(fd, SHUT_WR);
+		c.run_loop(0.05);
+		EXPECT_EQ(c.outcome, H1_INCOMPLETE) << request_bytes;
+		EXPECT_EQ(c.body, "part");
+		close(fd);
+	}
+}
+
+/* Guards against the same where the reset has arrived when the end is read. */
+TEST(Client, AResponseThatEndsAndIsResetIsNotComplete)
+{
+	struct linger reset = {1, 0};
+	Client c;
+
+	c.start();
+	int fd = c.accept_request();
+	c.send_bytes(fd, "HTTP/1.1 200 OK\r\n\r\npart");
+	shutdown(fd, SHUT_WR);
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+	close(fd);
+	c.run_loop(0.02);
+	EXPECT_EQ(c.outcome, H1_INCOMPLETE);
+}
+
+/* Guards against a sound answer that is lost: an early one with a length is whole. */
+TEST(Client, AResponseWithALengthIsCompleteBeforeTheRequest)
+{
+	Client c;
+
+	c.start(std::string(32 << 20, 'x'));
+	int fd = c.accept_request();
+	c.send_bytes(fd, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nall");
+	EXPECT_EQ(c.outcome, H1_COMPLETE);
+	close(fd);
+}
+
 TEST(Client, ReportsWhetherRequestBytesWereSent)
 {
 	Client c;
--- a/test/pools/deployment.py
+++ b/test/pools/deployment.py
@@ -130,6 +130,7 @@
         self.version = 0
         self.api_key, self.last_id = "key-one", 0
         self.idle_ms = 5000
+        self.body_max_bytes = 100000
         self.hold_ms = 2000  # 0 if engines take no reservations
         self.routes = [
             self.route("non_idempotent", "non_idempotent", "plain",
@@ -165,15 +166,15 @@
                             "KvRetentionS": 0.5, "HoldMs": self.hold_ms,
                             "Stride": 8,
                             "Models": [{"Name": "m"}]}}],
-            "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 100000,
+            "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": self.body_max_bytes,
                        "HeaderTimeoutMs": 1000,
                        "IdleTimeoutMs": self.idle_ms},
             "Tenants": self.accounts})
 
     async def add_endpoint(self, service, domain, stage=None, version="v1",
-                           **more):
+                           kind=Endpoint, **more):
         n = len(self.endpoints)
-        e = Endpoint(LOOPBACK_NET + ".2.1", 21600 + n, f"e{n}", service, domain,
+        e = kind(LOOPBACK_NET + ".2.1", 21600 + n, f"e{n}", service, domain,
                      stage, **more)
         e.version = version
         self.endpoints.append(e)
--- a/test/pools/pools_test.py
+++ b/test/pools/pools_test.py
@@ -23,6 +23,7 @@
 
 from deployment import (CALLERS_PORT, METRICS_PORT, PEER_PORT, SECRET, Deployment,
                         read_response)
+from early_answer_tests import *
 from freshness_tests import *
 from rollout_tests import *
 from standins import odd_entries
