fetch: a status that HTTP does not have is an error

Callers of the first form could get an answer with a status of 600 or 999 from a service: libcurl takes any number of three digits, and passes 600 to 999 on. 000, 099, 20, 2000, +20 and text are errors already, by libcurl. The pools form refuses all of them (pkg/h1).

Change: outside 100 to 599 the call ends with -EBADMSG and no status, as sent.

--- a/pkg/fetch/fetch.c
+++ b/pkg/fetch/fetch.c
@@ -5,6 +5,9 @@
 #include <string.h>
 
 #define DEFAULT_BODY_BYTES (1U << 20)
+/* Statuses of RFC 9110, section 15. */
+#define STATUS_MIN 100
+#define STATUS_MAX 599
 
 struct socket_watch {
 	struct fetch *fetch;
@@ -91,8 +94,12 @@
 		r.error = -ETIMEDOUT;
 	curl_easy_getinfo(t->easy, CURLINFO_RESPONSE_CODE, &status);
 	curl_easy_getinfo(t->easy, CURLINFO_PRETRANSFER_TIME_T, &connect_us);
-	r.status = (uint32_t)status;
 	r.sent = connect_us > 0 || status > 0;
+	if (status < STATUS_MIN || status > STATUS_MAX) {
+		status = 0;
+		r.error = r.error ? r.error : -EBADMSG;
+	}
+	r.status = (uint32_t)status;
 	r.body = body ? body : "";
 	r.body_n = t->body_n;
 	count_bytes(t, &r);
--- a/pkg/fetch/fetch.h
+++ b/pkg/fetch/fetch.h
@@ -30,7 +30,9 @@
 };
 
 struct fetch_result {
-	int error; /* 0, or negative: -ECONNREFUSED, -ETIMEDOUT, -ECONNRESET */
+	/* 0, or negative: -ECONNREFUSED, -ETIMEDOUT, -ECONNRESET, -EMSGSIZE, or
+	 * -EBADMSG for a status that HTTP does not have */
+	int error;
 	bool sent; /* false only if surely no byte reached the other side */
 	uint32_t status;  /* HTTP status, 0 if there was none */
 	const char *body; /* ends with a zero byte */
