fetch: an answer without a length ends only after the whole request

Cause: libcurl takes the end of the connection for the end of such a response, whether or not the request was sent. Evidence: fetch_test AnAnswerThatEndsDuringTheUploadIsAnError got 200 "part" both ways; now -ECONNRESET, which is in doubt for claims.

Change: without a length, chunks, or a status that has no body, the call fails if libcurl wrote less than the request. Not covered: the rest of an upload that the kernel has taken and the other side has not; libcurl closes the socket before it tells.

--- a/pkg/fetch/fetch.c
+++ b/pkg/fetch/fetch.c
@@ -19,6 +19,7 @@
 	struct fetch_call *owner;
 	CURL *easy;
 	struct curl_slist *headers;
+	size_t request_body_n;
 	char *body;
 	size_t body_n;
 	uint32_t max_body_bytes;
@@ -80,6 +81,26 @@
 	r->received_bytes = (uint64_t)header_bytes + (uint64_t)body_bytes;
 }
 
+/*
+ * Returns true if the response ended with its connection, without a length or chunks,
+ * before the request was sent. libcurl takes it for complete, but the other side may
+ * have broken off.
+ */
+static bool ended_early(const struct fetch_transfer *t, uint32_t status)
+{
+	struct curl_header *coding;
+	curl_off_t length = -1;
+	curl_off_t sent = 0;
+
+	curl_easy_getinfo(t->easy, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T, &length);
+	curl_easy_getinfo(t->easy, CURLINFO_SIZE_UPLOAD_T, &sent);
+	if (status == 204 || status == 304) /* they have no body */
+		return false;
+	return length < 0 && (uint64_t)sent < t->request_body_n &&
+	       curl_easy_header(t->easy, "Transfer-Encoding", 0, CURLH_HEADER,
+				-1, &coding) != CURLHE_OK;
+}
+
 /* Reports the end of a transfer to its owner, which may reuse the call. */
 static void transfer_done(struct fetch_transfer *t, CURLcode code)
 {
@@ -100,6 +121,8 @@
 		r.error = r.error ? r.error : -EBADMSG;
 	}
 	r.status = (uint32_t)status;
+	if (!r.error && ended_early(t, r.status))
+		r.error = -ECONNRESET;
 	r.body = body ? body : "";
 	r.body_n = t->body_n;
 	count_bytes(t, &r);
@@ -330,6 +353,7 @@
 	t->ctx = q->ctx;
 	t->silence_ms = q->silence_ms;
 	t->max_body_bytes = q->max_body_bytes;
+	t->request_body_n = q->body ? q->body_n : 0;
 	if (!t->max_body_bytes)
 		t->max_body_bytes = DEFAULT_BODY_BYTES;
 	t->headers = curl_slist_append(NULL, "Expect:");
--- a/pkg/fetch/test/fetch_test.cc
+++ b/pkg/fetch/test/fetch_test.cc
@@ -95,6 +95,8 @@
 	}
 };
 
+static const std::string UPLOAD(16 << 20, 'x');
+
 /* Guards against an answer with a status that does not exist, which callers get. */
 TEST(Fetch, AnAnswerWithAnOddStatusIsAnError)
 {
@@ -114,8 +116,32 @@
 	}
 }
 
+/* Guards against a part of an answer that counts as all of it. */
+TEST(Fetch, AnAnswerThatEndsDuringTheUploadIsAnError)
+{
+	for (bool reset : {false, true}) {
+		struct linger linger = {1, 0};
+		Fetch f;
+		int fd = f.start(UPLOAD);
+
+		f.respond(fd, "HTTP/1.1 200 OK\r\n\r\npart");
+		shutdown(fd, SHUT_WR);
+		f.run(0.1);
+		if (reset) {
+			setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger,
+				   sizeof(linger));
+			close(fd);
+		}
+		f.run(2);
+		EXPECT_TRUE(f.done);
+		EXPECT_NE(f.error, 0) << f.status << " " << f.body;
+		if (!reset)
+			close(fd);
+	}
+}
+
 /* Guards against sound answers that count as errors. */
-TEST(Fetch, AnAnswerIsWholeWithALengthOrUntilTheEnd)
+TEST(Fetch, AnAnswerIsWholeWithALengthOrAfterTheUpload)
 {
 	Fetch f;
 	char p[1000];
