freshness: say in the code what its sum relies on

A function that nothing called any more is gone; assertions hold the number of streams that messages tell the age of, and the time of the second stream's read.

--- a/cmd/figbend/gateway/records_age.c
+++ b/cmd/figbend/gateway/records_age.c
@@ -7,6 +7,9 @@
  * by its own reads (store_reader.c) and by what other hosts tell.
  */
 
+_Static_assert(FRESHNESS_STREAMS == FIG_TOPICS,
+	       "messages tell the age of each bounded stream");
+
 /* Lets the passive readers of this host read the store. */
 static void turn_to_store(struct gateway *g)
 {
--- a/cmd/figbend/gateway/store_reader.c
+++ b/cmd/figbend/gateway/store_reader.c
@@ -49,6 +49,8 @@
  * still reads then. */
 #define SECOND_STREAM_US 100000LL
 #define HOSTS_STREAM_US 1000000LL
+_Static_assert(SECOND_STREAM_US < FRESHNESS_READ_US,
+	       "both streams are read within the time for it");
 /* Records that a peer has had for this time should have arrived here. */
 #define LAG_MAX_US 80000LL
 /* Pause after new records of hosts, which are needed less urgently: many hosts
--- a/pkg/freshness/freshness.c
+++ b/pkg/freshness/freshness.c
@@ -53,25 +53,17 @@
 	return age_us;
 }
 
-bool freshness_is_told(const struct freshness *f, int64_t now_us)
-{
-	int s;
-
-	for (s = 0; s < FRESHNESS_STREAMS; s++)
-		if (now_us - f->told_us[s] >= FRESHNESS_OVERDUE_US)
-			return false;
-	return true;
-}
-
-/* Returns true if other hosts know something newer than this host's own reads. */
+/* Returns true if other hosts know something newer than this host's own reads, and
+ * that is not old itself. */
 static bool is_told_newer(const struct freshness *f, int64_t now_us)
 {
 	int s;
 
 	for (s = 0; s < FRESHNESS_STREAMS; s++)
-		if (f->told_us[s] < f->read_us[s] + FRESHNESS_NEWER_US)
+		if (f->told_us[s] < f->read_us[s] + FRESHNESS_NEWER_US ||
+		    now_us - f->told_us[s] >= FRESHNESS_OVERDUE_US)
 			return false;
-	return freshness_is_told(f, now_us);
+	return true;
 }
 
 bool freshness_step(struct freshness *f, double random, int64_t now_us)
--- a/pkg/freshness/freshness.h
+++ b/pkg/freshness/freshness.h
@@ -25,7 +25,8 @@
  *     f->stale_us             age at which a host turns to the store itself
  *   + FRESHNESS_CHECK_US      until the age is looked at
  *   + FRESHNESS_TURN_US       random delay, so that hosts do not all ask at once
- *   + FRESHNESS_READ_US       connection, requests and responses of both streams
+ *   + FRESHNESS_READ_US       connection, requests and responses of both streams, which
+ *                             store_reader.c reads one after the other
  *   + FRESHNESS_DELAY_US      of a response of the store and of the messages that
  *                             pass on its time, which ages do not include
  *   + FRESHNESS_APPLY_US      until records are in effect for all requests
@@ -108,8 +109,6 @@
  * as nobody can tell it anything newer.
  */
 bool freshness_step(struct freshness *f, double random, int64_t now_us);
-/* Returns true if what other hosts tell of all streams is new. */
-bool freshness_is_told(const struct freshness *f, int64_t now_us);
 /*
  * Returns true if a reader that waits for new records of a stream has to ask at once:
  * its connection may be dead. rank is its place among the hosts that read.
