--- a/pkg/poison/test/poison_test.cc
+++ b/pkg/poison/test/poison_test.cc
@@ -525,4 +525,28 @@
 	EXPECT_FALSE(a.Blocks({1}));
 }
 
+/*
+ * Guards against a deadly part that goes on to crash endpoints, as a request which is
+ * sent often breaks with it each time. That one was answered before, so its breaks are put
+ * down to chance; from then on, until its next answer, it explains those of the part.
+ */
+TEST_F(Poison, BlocksAPartBesideARequestThatBreaksWithIt)
+{
+	int crashes = 0;
+
+	a.Charge({7}, 999);
+	a.Answer({7});
+	now_us += kSecond;
+	for (uint64_t i = 0; i < 16 && !a.Blocks({1, 2, 100 + i}); i++) {
+		a.Charge({1, 2, 100 + i}, 1000 + i);
+		if (!a.Blocks({7}))
+			a.Charge({7}, 1000 + i);
+		crashes++;
+		now_us += kSettle;
+		a.Judge();
+		now_us += 100000;
+	}
+	EXPECT_EQ(crashes, POISON_BREAKS) << "as without the other request";
+}
+
 } // namespace
