store_reader: a host behind two others of its domain polls for 2 s at most

When it polled next it had heard of one reader, so it was not the first, and let the store hold its poll open for up to 28 s; only then did it look whether two others read. Callers saw nothing; the store had more polls to answer after starts, and review/6 could not have run.

Ruled out: old records (no records_old) and store failures (no store_lost) in the logs. The race itself is not reproduced by a test.

--- a/cmd/figbend/gateway/store_reader.c
+++ b/cmd/figbend/gateway/store_reader.c
@@ -28,6 +28,9 @@
  * less urgently than the others. */
 #define HOSTS_WAIT_MIN_MS 600
 #define HOSTS_WAIT_MAX_MS 23400
+/* A host behind two others of its domain leaves the reading to them once it hears that
+ * they read, which it looks at between its polls. */
+#define JUNIOR_WAIT_MAX_MS 2000
 /* Time-out of a read after its wait, and between parts of the response. A slow
  * store responds within 0.4 s. */
 #define READ_TIMEOUT_S 0.8
@@ -230,6 +233,7 @@
 static uint32_t poll_wait_ms(struct store_reader *sr)
 {
 	double random = gateway_random_fraction(sr->g);
+	uint32_t ms;
 
 	if (sr->failures || sr->poll_now || asks(sr))
 		return 0;
@@ -237,7 +241,10 @@
 		return HOSTS_WAIT_MIN_MS +
 		       (uint32_t)(random *
 				  (HOSTS_WAIT_MAX_MS - HOSTS_WAIT_MIN_MS));
-	return freshness_wait_ms(heartbeat_reader_rank(sr->g), random);
+	ms = freshness_wait_ms(heartbeat_reader_rank(sr->g), random);
+	if (ms > JUNIOR_WAIT_MAX_MS && relay_has_seniors(&sr->g->relay))
+		return JUNIOR_WAIT_MAX_MS;
+	return ms;
 }
 
 /* Pause between a successful read and the next one. */
