--- a/cmd/figbend/gateway/store_reader.c
+++ b/cmd/figbend/gateway/store_reader.c
@@ -29,8 +29,10 @@
 #define HOSTS_WAIT_MIN_MS 600
 #define HOSTS_WAIT_MAX_MS 23400
 /* A host behind two others of its domain leaves the reading to them once it hears that
- * they read, which it looks at between its polls. */
+ * they read, which it looks at between its polls. One that has just started may not know
+ * them yet. */
 #define JUNIOR_WAIT_MAX_MS 2000
+#define NEW_HOST_US 10000000LL
 /* Time-out of a read after its wait, and between parts of the response. A slow
  * store responds within 0.4 s. */
 #define READ_TIMEOUT_S 0.8
@@ -242,7 +244,9 @@
 		       (uint32_t)(random *
 				  (HOSTS_WAIT_MAX_MS - HOSTS_WAIT_MIN_MS));
 	ms = freshness_wait_ms(heartbeat_reader_rank(sr->g), random);
-	if (ms > JUNIOR_WAIT_MAX_MS && relay_has_seniors(&sr->g->relay))
+	if (ms > JUNIOR_WAIT_MAX_MS &&
+	    (relay_has_seniors(&sr->g->relay) ||
+	     gateway_now_us(sr->g) - sr->g->relay.start_us < NEW_HOST_US))
 		return JUNIOR_WAIT_MAX_MS;
 	return ms;
 }
